--- /dev/null
+++ b/bench/src/main.rs
@@ -0,0 +1,3 @@
+//! Runs the decision code in virtual time against model targets.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/redwinggrade.rs
@@ -0,0 +1,3 @@
+//! The operators' client.
+
+fn main() {}
--- /dev/null
+++ b/src/time.rs
@@ -0,0 +1,111 @@
+//! The monotonic time that every decision takes as an argument.
+//!
+//! Decisions never read a clock, so that tests and the decision bench can replay them exactly. See
+//! `docs/design.md`, section 6.
+
+use std::ops::{Add, Sub};
+use std::time::{Duration, Instant};
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+/// A point on the monotonic clock of one process, in microseconds since the process started.
+///
+/// Moments of different processes must not be compared, because their clocks share no origin.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Display,
+    Serialize,
+    Deserialize,
+)]
+#[display("{_0}us")]
+pub struct Moment(u64);
+
+impl Moment {
+    /// The start of the process.
+    pub const ZERO: Self = Self(0);
+    /// A moment that never comes.
+    pub const NEVER: Self = Self(u64::MAX);
+
+    /// Returns the moment `micros` microseconds after the start of the process.
+    pub const fn from_micros(micros: u64) -> Self {
+        Self(micros)
+    }
+
+    /// Returns the moment `millis` milliseconds after the start of the process.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis * 1_000)
+    }
+
+    /// Returns the microseconds since the start of the process.
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// Returns the time since `earlier`, or zero if `earlier` lies in the future.
+    pub const fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+
+    /// Returns the time left until `later`, or zero if `later` has passed.
+    pub const fn until(self, later: Self) -> Duration {
+        later.since(self)
+    }
+}
+
+impl Add<Duration> for Moment {
+    type Output = Self;
+
+    fn add(self, rhs: Duration) -> Self {
+        Self(
+            self.0
+                .saturating_add(u64::try_from(rhs.as_micros()).unwrap_or(u64::MAX)),
+        )
+    }
+}
+
+impl Sub<Duration> for Moment {
+    type Output = Self;
+
+    fn sub(self, rhs: Duration) -> Self {
+        Self(
+            self.0
+                .saturating_sub(u64::try_from(rhs.as_micros()).unwrap_or(u64::MAX)),
+        )
+    }
+}
+
+/// The clock of a running process, read only at its edges.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock {
+    origin: Instant,
+}
+
+impl Clock {
+    /// Starts a clock whose origin is now.
+    pub fn start() -> Self {
+        Self {
+            origin: Instant::now(),
+        }
+    }
+
+    /// Reads the clock.
+    pub fn now(self) -> Moment {
+        Moment::ZERO + self.origin.elapsed()
+    }
+
+    /// Converts a moment of this clock for the timers of the runtime.
+    pub fn instant(self, moment: Moment) -> Instant {
+        /// Timers need a finite instant; a year is beyond the life of any process.
+        const FAR: Duration = Duration::from_hours(365 * 24);
+        self.origin + Duration::from_micros(moment.0).min(FAR)
+    }
+}
--- /dev/null
+++ b/src/version/mod.rs
@@ -0,0 +1,3 @@
+//! What lives as long as one version of the settings or of an index.
+
+pub mod policy;
