--- /dev/null
+++ b/src/command/mod.rs
@@ -0,0 +1,3 @@
+//! The commands of the command-line clients, one module each.
+
+pub mod query;
--- /dev/null
+++ b/src/connection/caller.rs
@@ -0,0 +1,272 @@
+//! The callers' interface: HTTP/1.1 with JSON, as `docs/CALLERS.md` describes it.
+//!
+//! Every request is read whole, within limits of size and time, before any work starts, so that each
+//! refusal from here is truthfully "not run".
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue};
+use hyper::service::service_fn;
+use hyper::{HeaderMap, Method, Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::GracefulShutdown;
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+use tokio_util::sync::CancellationToken;
+
+use crate::request::answer::Refusal;
+use crate::request::ask::Ask;
+use crate::wire::Reason;
+use crate::wire::run::Reply;
+
+/// The longest query body, in bytes.
+pub const MAX_BODY: usize = 64 * 1024;
+/// The time within which a body must arrive whole.
+pub const BODY_TIMEOUT: Duration = Duration::from_secs(2);
+/// The time within which the head of a request must arrive; it also ends idle connections.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+/// The longest deadline that a caller may ask for.
+pub const MAX_DEADLINE: Duration = Duration::from_mins(1);
+/// Connections of callers at once; more are closed at once so that memory stays bounded.
+const MAX_CONNECTIONS: usize = 10_000;
+
+/// What the node does with requests that are well formed.
+pub trait Handler: Send + Sync + 'static {
+    /// Returns the addresses that the caller may use.
+    fn addresses(&self) -> Reply;
+
+    /// Runs a query to its end.
+    fn query(&self, ask: Ask) -> impl Future<Output = Reply> + Send;
+
+    /// Counts and completes a refusal that the interface itself decided.
+    fn refuse(&self, refusal: Refusal) -> Reply;
+
+    /// Tells whether callers should close their connections after the present request.
+    fn closing(&self) -> bool;
+}
+
+/// The running server.
+#[derive(Debug)]
+pub struct Server {
+    address: SocketAddr,
+    stop: CancellationToken,
+    task: tokio::task::JoinHandle<()>,
+}
+
+impl Server {
+    /// Starts to accept callers.
+    pub fn spawn<H>(listener: TcpListener, handler: Arc<H>) -> std::io::Result<Self>
+    where
+        H: Handler,
+    {
+        let address = listener.local_addr()?;
+        let stop = CancellationToken::new();
+        let task = tokio::spawn(accept(listener, handler, stop.clone()));
+        Ok(Self {
+            address,
+            stop,
+            task,
+        })
+    }
+
+    /// Returns the address that callers connect to.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops accepting, lets the requests under way finish, and returns when all have.
+    pub async fn close(self) {
+        self.stop.cancel();
+        if let Err(e) = self.task.await {
+            log::error!("callers' server ended abnormally: {e}");
+        }
+    }
+}
+
+async fn accept<H>(listener: TcpListener, handler: Arc<H>, stop: CancellationToken)
+where
+    H: Handler,
+{
+    let graceful = GracefulShutdown::new();
+    let connections = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    loop {
+        let stream = tokio::select! {
+            () = stop.cancelled() => break,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((stream, _)) = stream else {
+            // Out of file descriptors: accepting again at once would only spin.
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let Ok(permit) = Arc::clone(&connections).try_acquire_owned() else {
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let handler = Arc::clone(&handler);
+        let service = service_fn(move |request| {
+            let handler = Arc::clone(&handler);
+            async move { Ok::<_, Infallible>(serve(request, &*handler).await) }
+        });
+        let connection = hyper::server::conn::http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEAD_TIMEOUT)
+            .serve_connection(TokioIo::new(stream), service);
+        let connection = graceful.watch(connection);
+        tokio::spawn(async move {
+            let _ = connection.await;
+            drop(permit);
+        });
+    }
+    graceful.shutdown().await;
+}
+
+async fn serve<H>(request: Request<Incoming>, handler: &H) -> Response<Full<Bytes>>
+where
+    H: Handler,
+{
+    let closing = handler.closing();
+    let (reply, unread) = match route(request, handler).await {
+        Ok(reply) => (reply, false),
+        Err(refusal) => (handler.refuse(refusal), true),
+    };
+    let mut response = Response::new(Full::new(reply.body));
+    *response.status_mut() = reply
+        .status
+        .try_into()
+        .expect("replies carry valid statuses");
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, json);
+    if closing || unread {
+        response
+            .headers_mut()
+            .insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+async fn route<H>(request: Request<Incoming>, handler: &H) -> Result<Reply, Refusal>
+where
+    H: Handler,
+{
+    let path = request.uri().path();
+    if path == "/v1/addresses" {
+        return match *request.method() {
+            Method::GET => Ok(handler.addresses()),
+            _ => Err(Refusal::new(
+                Reason::BadRequest,
+                "use GET for /v1/addresses",
+            )),
+        };
+    }
+    let Some((index, kind)) = names(path) else {
+        let text = "unknown path; use GET /v1/addresses or POST /v1/query/{index}/{kind}";
+        return Err(Refusal::new(Reason::BadRequest, text));
+    };
+    if *request.method() != Method::POST {
+        return Err(Refusal::new(
+            Reason::BadRequest,
+            "use POST for /v1/query/{index}/{kind}",
+        ));
+    }
+    let (index, kind) = (index.to_owned(), kind.to_owned());
+    let (parts, body) = request.into_parts();
+    let deadline = deadline(&parts.headers)?;
+    check_type(&parts.headers)?;
+    let request = text(&parts.headers, "request-id", Reason::BadRequestId)?;
+    let routing_key = text(&parts.headers, "routing-key", Reason::BadRequest)?;
+    let body = read(body).await?;
+    Ok(handler
+        .query(Ask {
+            index,
+            kind,
+            deadline,
+            request,
+            routing_key,
+            body,
+        })
+        .await)
+}
+
+fn names(path: &str) -> Option<(&str, &str)> {
+    let (index, kind) = path.strip_prefix("/v1/query/")?.split_once('/')?;
+    (!index.is_empty() && !kind.is_empty() && !kind.contains('/')).then_some((index, kind))
+}
+
+fn deadline(headers: &HeaderMap) -> Result<Option<Duration>, Refusal> {
+    let Some(value) = headers.get("deadline-ms") else {
+        return Ok(None);
+    };
+    let millis = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.parse::<u64>().ok());
+    match millis.map(Duration::from_millis) {
+        Some(limit) if !limit.is_zero() && limit <= MAX_DEADLINE => Ok(Some(limit)),
+        _ => Err(Refusal::new(
+            Reason::BadDeadline,
+            "Deadline-Ms must be from 1 to 60000",
+        )),
+    }
+}
+
+fn check_type(headers: &HeaderMap) -> Result<(), Refusal> {
+    let Some(value) = headers.get(CONTENT_TYPE) else {
+        return Ok(());
+    };
+    let media = value
+        .as_bytes()
+        .split(|&b| b == b';')
+        .next()
+        .unwrap_or_default();
+    match media.trim_ascii() {
+        b"application/json" | b"application/octet-stream" => Ok(()),
+        _ => Err(Refusal::new(
+            Reason::BadContentType,
+            "Content-Type must be application/json or application/octet-stream",
+        )),
+    }
+}
+
+fn text(headers: &HeaderMap, name: &str, reason: Reason) -> Result<Option<String>, Refusal> {
+    /// The longest value of a header that is kept, in bytes.
+    const MAX_VALUE: usize = 256;
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    match value.to_str() {
+        Ok(text) if !text.is_empty() && text.len() <= MAX_VALUE => Ok(Some(text.to_owned())),
+        _ => Err(Refusal::new(
+            reason,
+            format!("{name} must be 1 to 256 visible characters"),
+        )),
+    }
+}
+
+async fn read(body: Incoming) -> Result<Bytes, Refusal> {
+    let whole = Limited::new(body, MAX_BODY).collect();
+    match tokio::time::timeout(BODY_TIMEOUT, whole).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => Err(Refusal::new(
+            Reason::BodyTooLarge,
+            format!("the body exceeds {MAX_BODY} bytes"),
+        )),
+        Ok(Err(e)) => Err(Refusal::new(
+            Reason::BadRequest,
+            format!("the body broke off: {e}"),
+        )),
+        Err(_) => Err(Refusal::new(
+            Reason::SlowBody,
+            format!(
+                "the body did not arrive within {} ms",
+                BODY_TIMEOUT.as_millis()
+            ),
+        )),
+    }
+}
