--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! machines that take the present time as an argument; sockets and clocks stay at the edges.
 
 pub mod process;
+pub mod request;
 pub mod time;
 pub mod version;
 pub mod wire;
--- /dev/null
+++ b/src/request/hedge.rs
@@ -0,0 +1,264 @@
+//! Decides when a slow leg gets a second one, and how much extra load hedges and retries may cause.
+//!
+//! `docs/decisions/005-tail.md` gives the reasons.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::time::Moment;
+use crate::wire::Load;
+
+/// The shortest adaptive delay; below it, scheduling noise alone would cause hedges.
+pub const DELAY_FLOOR: Duration = Duration::from_millis(2);
+/// The longest adaptive delay, also used while too few latencies are known.
+pub const DELAY_CEILING: Duration = Duration::from_millis(100);
+/// The share of legs, in percent, that may be followed by a retry.
+pub const RETRY_PERCENT: f64 = 10.0;
+/// Retries per second that are allowed however few legs are sent, so that a rarely used index survives
+/// the loss of one replica.
+pub const RETRY_FLOOR_PER_SECOND: f64 = 5.0;
+/// Tokens that a budget starts with.
+pub const BUDGET_START: f64 = 10.0;
+/// Tokens that a budget holds at most, which bounds a burst of extra legs after a quiet time.
+pub const BUDGET_LIMIT: f64 = 100.0;
+/// The utilisation from which budgets shrink; they reach zero at full utilisation.
+pub const SHRINK_FROM: f64 = 0.7;
+/// Services with recorded latencies; it bounds the memory if services are renamed often.
+pub const MAX_SERVICES: usize = 65_536;
+
+/// When hedges are sent; the simpler ways exist for comparison by the benchmark.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Policy {
+    /// Never.
+    None,
+    /// After a constant delay.
+    Fixed(Duration),
+    /// After the 95th percentile of the service's recent latencies.
+    #[default]
+    Adaptive,
+}
+
+/// Latencies, utilisation and budgets of one node, shared by its queries.
+#[derive(Debug)]
+pub struct Hedge {
+    policy: Policy,
+    services: HashMap<Arc<str>, Service>,
+    hedges: Budget,
+    retries: Budget,
+}
+
+impl Hedge {
+    /// Opens the state without any latencies.
+    pub fn open(policy: Policy) -> Self {
+        Self {
+            policy,
+            services: HashMap::new(),
+            hedges: Budget::open(),
+            retries: Budget::open(),
+        }
+    }
+
+    /// Returns the time after which a leg to `service` is hedged, or nothing if it never is.
+    pub fn delay(&self, service: &str) -> Option<Duration> {
+        match self.policy {
+            Policy::None => None,
+            Policy::Fixed(delay) => Some(delay),
+            Policy::Adaptive => Some(self.expected(service)),
+        }
+    }
+
+    /// Returns the 95th percentile of the recent latencies of `service`, within the floor and ceiling.
+    pub fn expected(&self, service: &str) -> Duration {
+        let known = self.services.get(service).and_then(|it| it.latency.high());
+        known
+            .unwrap_or(DELAY_CEILING)
+            .clamp(DELAY_FLOOR, DELAY_CEILING)
+    }
+
+    /// Adds the budget that one first leg brings.
+    pub fn earn(&mut self, hedge_percent: f64) {
+        self.hedges.earn(hedge_percent / 100.0);
+        self.retries.earn(RETRY_PERCENT / 100.0);
+    }
+
+    /// Records how long a leg to `service` took, or at least took before it was cancelled.
+    pub fn record_latency(&mut self, service: &Arc<str>, latency: Duration) {
+        if let Some(service) = self.service(service) {
+            service.latency.record(latency);
+        }
+    }
+
+    /// Records the load that a gateway reported for a target of `service`.
+    pub fn record_load(&mut self, service: &Arc<str>, load: Load) {
+        if load.limit > 0
+            && let Some(service) = self.service(service)
+        {
+            service.add_load(load);
+        }
+    }
+
+    /// Takes the budget for one hedge to `service`, if there is enough.
+    pub fn take_hedge(&mut self, service: &str) -> bool {
+        let allowance = self.allowance(service);
+        self.hedges.take(allowance)
+    }
+
+    /// Takes the budget for one retry to `service`, if there is enough.
+    pub fn take_retry(&mut self, service: &str, now: Moment) -> bool {
+        self.retries.refill(now);
+        let allowance = self.allowance(service);
+        self.retries.take(allowance)
+    }
+
+    /// Returns the part of the budget that is left at the utilisation of `service`, from 0 to 1.
+    fn allowance(&self, service: &str) -> f64 {
+        let utilisation = self.services.get(service).map_or(0.0, |it| it.utilisation);
+        ((1.0 - utilisation) / (1.0 - SHRINK_FROM)).clamp(0.0, 1.0)
+    }
+
+    fn service(&mut self, name: &Arc<str>) -> Option<&mut Service> {
+        if !self.services.contains_key(name) {
+            if self.services.len() >= MAX_SERVICES {
+                return None;
+            }
+            self.services.insert(Arc::clone(name), Service::default());
+        }
+        self.services.get_mut(name)
+    }
+}
+
+/// What is known about one service.
+#[derive(Debug, Default)]
+struct Service {
+    latency: Latency,
+    /// A moving average of (queued + running) / limit over the reports of its targets.
+    utilisation: f64,
+}
+
+impl Service {
+    /// The weight of one report in the moving average.
+    const WEIGHT: f64 = 1.0 / 32.0;
+    /// The largest utilisation that one report counts for, so that one long queue does not stop
+    /// hedging for a whole service for long.
+    const MOST: f64 = 2.0;
+
+    fn add_load(&mut self, load: Load) {
+        let ahead = f64::from(load.queued) + f64::from(load.running);
+        let reported = (ahead / f64::from(load.limit)).min(Self::MOST);
+        self.utilisation += (reported - self.utilisation) * Self::WEIGHT;
+    }
+}
+
+/// Tokens for extra legs; first legs earn fractions of a token.
+#[derive(Debug)]
+struct Budget {
+    tokens: f64,
+    refilled: Moment,
+}
+
+impl Budget {
+    const fn open() -> Self {
+        Self {
+            tokens: BUDGET_START,
+            refilled: Moment::ZERO,
+        }
+    }
+
+    const fn earn(&mut self, tokens: f64) {
+        self.tokens = (self.tokens + tokens).min(BUDGET_LIMIT);
+    }
+
+    /// Adds what is earned by time alone.
+    fn refill(&mut self, now: Moment) {
+        self.earn(now.since(self.refilled).as_secs_f64() * RETRY_FLOOR_PER_SECOND);
+        self.refilled = self.refilled.max(now);
+    }
+
+    /// Takes one token at full allowance, and more as the allowance shrinks: the rate of extra legs
+    /// then falls in proportion to the allowance.
+    fn take(&mut self, allowance: f64) -> bool {
+        if allowance * self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0 / allowance;
+        true
+    }
+}
+
+/// Recent latencies in buckets of an eighth of a power of two, with older ones losing weight.
+///
+/// `hdrhistogram` has no decay, and it computes a percentile over all of its buckets at each call.
+#[derive(Debug)]
+struct Latency {
+    counts: [u16; Self::BUCKETS],
+    total: u16,
+    /// The cached 95th percentile in microseconds.
+    high: u64,
+}
+
+impl Default for Latency {
+    fn default() -> Self {
+        Self {
+            counts: [0; Self::BUCKETS],
+            total: 0,
+            high: 0,
+        }
+    }
+}
+
+impl Latency {
+    /// Buckets up to 2^26 microseconds, about 67 s, which exceeds the longest deadline.
+    const BUCKETS: usize = 24 * 8;
+    /// Weight at which all counts are halved; the estimate follows about this many latencies.
+    const WINDOW: u16 = 1_024;
+    /// Latencies before the estimate is used.
+    const FEW: u16 = 20;
+    /// Latencies between two computations of the percentile.
+    const STRIDE: u16 = 16;
+
+    fn record(&mut self, latency: Duration) {
+        let bucket = Self::bucket(u64::try_from(latency.as_micros()).unwrap_or(u64::MAX));
+        self.counts[bucket] += 1;
+        self.total += 1;
+        if self.total >= Self::WINDOW {
+            self.total = 0;
+            for count in &mut self.counts {
+                *count /= 2;
+                self.total += *count;
+            }
+        }
+        if self.total.is_multiple_of(Self::STRIDE) || self.total == Self::FEW {
+            self.high = self.percentile_95();
+        }
+    }
+
+    fn high(&self) -> Option<Duration> {
+        (self.high > 0 && self.total >= Self::FEW).then(|| Duration::from_micros(self.high))
+    }
+
+    fn percentile_95(&self) -> u64 {
+        let above = self.total / 20;
+        let mut seen = 0;
+        for (bucket, &count) in self.counts.iter().enumerate().rev() {
+            seen += count;
+            if seen > above {
+                return Self::upper(bucket);
+            }
+        }
+        0
+    }
+
+    /// Returns the bucket of a latency: three bits after the leading one select within a power of two.
+    fn bucket(micros: u64) -> usize {
+        let micros = micros.max(8);
+        let power = micros.ilog2();
+        let part = (micros >> (power - 3)) & 7;
+        (((power - 3) * 8) as usize + part as usize).min(Self::BUCKETS - 1)
+    }
+
+    /// Returns the upper end of a bucket in microseconds.
+    const fn upper(bucket: usize) -> u64 {
+        (bucket as u64 % 8 + 9) << (bucket / 8)
+    }
+}
--- /dev/null
+++ b/src/request/mod.rs
@@ -0,0 +1,10 @@
+//! What lives as long as one request: the decisions from its arrival to its answer.
+//!
+//! Every module here is a pure state machine: it uses no clock, socket, sleep or global random
+//! number generator. See `docs/design.md`, section 6.
+
+pub mod choice;
+pub mod hedge;
+pub mod merge;
+pub mod scatter;
+pub mod snapshot;
