Add session ids and the at-most-once table

Change: request::id issues and verifies sessions with a SipHash tag; request::once keeps what became of each id and refuses, rather than forgets, ids below a watermark.

--- /dev/null
+++ b/src/request/id.rs
@@ -0,0 +1,195 @@
+//! Sessions and request ids that callers cannot forge.
+//!
+//! A session reads `<node name>.<incarnation hex>.<number hex>.<tag hex>`, and a request id reads
+//! `<session>-<sequence>`. The tag is a keyed hash under a random key of the incarnation, so only the
+//! incarnation that issued a session can verify it. `docs/decisions/003-at-most-once.md` gives the
+//! reasons.
+
+use std::fmt;
+use std::hash::Hasher;
+use std::str::FromStr;
+
+use derive_more::Display;
+use siphasher::sip::SipHasher24;
+use thiserror::Error;
+
+use crate::time::Moment;
+use crate::wire::Incarnation;
+
+/// Bytes of a request id; it bounds the work that a forged header can cause.
+pub const MAX_LENGTH: usize = 256;
+
+/// Digits of a tag; a tag always has all of them.
+const TAG_DIGITS: usize = 16;
+
+/// Groups the requests of one caller.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Display)]
+#[display("{node}.{incarnation}.{number:x}.{tag:016x}")]
+pub struct Session {
+    /// The node that issued the session.
+    pub node: String,
+    /// The run of the node's process that issued the session.
+    pub incarnation: Incarnation,
+    /// The number of the session, unique within the incarnation and ascending with time.
+    pub number: u64,
+    /// The keyed hash of the other fields.
+    pub tag: u64,
+}
+
+/// Identifies one request of a session.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Display)]
+#[display("{session}-{sequence}")]
+pub struct Request {
+    /// The session.
+    pub session: Session,
+    /// The number that the caller gave the request.
+    pub sequence: u64,
+}
+
+/// A text is not a request id, or not one that this incarnation issued.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum Error {
+    /// The text exceeds [`MAX_LENGTH`].
+    #[error("the request id is longer than {MAX_LENGTH} bytes")]
+    TooLong,
+    /// A separator, and with it a part, is missing.
+    #[error("the request id has no {0}; it must read <session>-<sequence>")]
+    Missing(&'static str),
+    /// A number has no digits, a leading zero, an upper-case digit or too many digits.
+    #[error("the {0} of the request id is not a number in its shortest form")]
+    BadNumber(&'static str),
+    /// Another node, or another run of this node, issued the session.
+    #[error("the session was issued by {0}, incarnation {1}")]
+    Foreign(String, Incarnation),
+    /// The tag does not match the session.
+    #[error("the request id was not issued by this system")]
+    Forged,
+}
+
+impl FromStr for Session {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        if text.len() > MAX_LENGTH {
+            return Err(Error::TooLong);
+        }
+        // Node names may contain any separator, so the parts are split off from the right.
+        let (rest, tag) = text.rsplit_once('.').ok_or(Error::Missing("tag"))?;
+        let (rest, number) = rest.rsplit_once('.').ok_or(Error::Missing("number"))?;
+        let (node, incarnation) = rest.rsplit_once('.').ok_or(Error::Missing("incarnation"))?;
+        if node.is_empty() {
+            return Err(Error::Missing("node name"));
+        }
+        if tag.len() != TAG_DIGITS {
+            return Err(Error::BadNumber("tag"));
+        }
+        Ok(Self {
+            node: node.to_owned(),
+            incarnation: Incarnation(parse_hex(incarnation, "incarnation")?),
+            number: parse_hex(number, "number")?,
+            tag: parse_digits(tag, 16).ok_or(Error::BadNumber("tag"))?,
+        })
+    }
+}
+
+impl FromStr for Request {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        if text.len() > MAX_LENGTH {
+            return Err(Error::TooLong);
+        }
+        let (session, sequence) = text.rsplit_once('-').ok_or(Error::Missing("sequence"))?;
+        let sequence = shortest(sequence).and_then(|it| parse_digits(it, 10));
+        Ok(Self {
+            session: session.parse()?,
+            sequence: sequence.ok_or(Error::BadNumber("sequence"))?,
+        })
+    }
+}
+
+fn parse_hex(text: &str, part: &'static str) -> Result<u64, Error> {
+    let number = shortest(text).and_then(|it| parse_digits(it, 16));
+    number.ok_or(Error::BadNumber(part))
+}
+
+/// Passes numbers without leading zeros only: each id has one spelling, because targets and journals
+/// compare ids as text.
+fn shortest(text: &str) -> Option<&str> {
+    (text == "0" || !text.starts_with('0')).then_some(text)
+}
+
+/// Parses lower-case digits; unlike the standard library, it accepts no sign.
+fn parse_digits(text: &str, radix: u32) -> Option<u64> {
+    let plain = |byte: u8| byte.is_ascii_digit() || byte.is_ascii_lowercase();
+    if text.bytes().all(plain) {
+        u64::from_str_radix(text, radix).ok()
+    } else {
+        None
+    }
+}
+
+/// Issues and verifies the sessions of one incarnation.
+pub struct Mint {
+    node: String,
+    incarnation: Incarnation,
+    hasher: SipHasher24,
+    last: u64,
+}
+
+impl fmt::Debug for Mint {
+    /// Leaves out the key, so that no log line can reveal it.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut mint = f.debug_struct("Mint");
+        mint.field("node", &self.node);
+        mint.field("incarnation", &self.incarnation);
+        mint.finish_non_exhaustive()
+    }
+}
+
+impl Mint {
+    /// Opens the mint of an incarnation with a random key that no other incarnation has.
+    pub fn open(node: impl Into<String>, incarnation: Incarnation, key: u128) -> Self {
+        Self {
+            node: node.into(),
+            incarnation,
+            hasher: SipHasher24::new_with_key(&key.to_le_bytes()),
+            last: 0,
+        }
+    }
+
+    /// Issues a session whose number tells when it was issued.
+    ///
+    /// The number is the moment in microseconds, or the next free one, so that the at-most-once table
+    /// can forget old sessions by their age alone.
+    pub fn mint(&mut self, now: Moment) -> Session {
+        self.last = now.as_micros().max(self.last.saturating_add(1));
+        Session {
+            node: self.node.clone(),
+            incarnation: self.incarnation,
+            number: self.last,
+            tag: self.tag(self.last),
+        }
+    }
+
+    /// Checks that this incarnation issued the session of a request.
+    pub fn verify(&self, request: &Request) -> Result<(), Error> {
+        let session = &request.session;
+        if session.node != self.node || session.incarnation != self.incarnation {
+            return Err(Error::Foreign(session.node.clone(), session.incarnation));
+        }
+        if session.tag == self.tag(session.number) {
+            Ok(())
+        } else {
+            Err(Error::Forged)
+        }
+    }
+
+    fn tag(&self, number: u64) -> u64 {
+        let mut hasher = self.hasher;
+        hasher.write(self.node.as_bytes());
+        hasher.write_u64(self.incarnation.0);
+        hasher.write_u64(number);
+        hasher.finish()
+    }
+}
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -5,6 +5,8 @@
 
 pub mod choice;
 pub mod hedge;
+pub mod id;
 pub mod merge;
+pub mod once;
 pub mod scatter;
 pub mod snapshot;
--- /dev/null
+++ b/src/request/once.rs
@@ -0,0 +1,350 @@
+//! Runs each non-idempotent request at most once: what became of the ids that this incarnation issued.
+//!
+//! The table never forgets that an id was used. It either still has the entry, or it refuses the id
+//! because it lies below a watermark. `docs/decisions/003-at-most-once.md` gives the reasons.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use xxhash_rust::xxh3::Xxh3;
+
+use super::id::Request;
+use crate::time::Moment;
+use crate::wire::Reason;
+use crate::wire::run::Reply;
+
+/// The size of an entry without its reply, in bytes; a rounded estimate with its share of the maps.
+const ENTRY_BYTES: usize = 256;
+
+/// What the table may hold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// Entries in all sessions.
+    pub entries: usize,
+    /// Sessions with entries or with a watermark.
+    pub sessions: usize,
+    /// Bytes of entries and their replies.
+    pub bytes: usize,
+    /// Bytes that are reserved for the reply of a running request.
+    pub reply_bytes: usize,
+    /// The time for which a settled entry is certainly kept.
+    pub retention: Duration,
+    /// The time after which a running request counts as unknown; it exceeds the longest deadline.
+    pub running: Duration,
+}
+
+impl Default for Limits {
+    /// Holds about a minute of 1,000 requests per second with replies of 1 KiB.
+    fn default() -> Self {
+        Self {
+            entries: 65_536,
+            sessions: 65_536,
+            bytes: 96 << 20,
+            reply_bytes: 1 << 10,
+            retention: Duration::from_mins(2),
+            running: Duration::from_mins(2),
+        }
+    }
+}
+
+/// What the caller of the table must do with a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Admission {
+    /// Run the request now, and settle it afterwards.
+    Start,
+    /// The request runs already; wait for it.
+    Running,
+    /// The request was answered; send this answer again.
+    Answer(Reply),
+    /// Refuse the request.
+    Refuse(Reason),
+}
+
+/// How a run ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Settlement {
+    /// It has this answer.
+    Answered(Reply),
+    /// It certainly did not run.
+    NotRun(Reason),
+    /// Nobody can tell whether it ran.
+    Unknown,
+}
+
+#[derive(Debug)]
+enum State {
+    Running,
+    Answered(Reply),
+    NotRun,
+    Unknown,
+}
+
+#[derive(Debug)]
+struct Entry {
+    digest: u128,
+    state: State,
+    /// When the entry got its state.
+    since: Moment,
+    /// The bytes that the entry is charged with.
+    bytes: usize,
+}
+
+/// One session: its entries by sequence number.
+#[derive(Debug, Default)]
+struct Session {
+    /// The highest forgotten sequence; ids up to it are refused unless they still have an entry.
+    watermark: Option<u64>,
+    entries: BTreeMap<u64, Entry>,
+}
+
+/// An entry by age: since when it has its state, session number, sequence number.
+type Age = (Moment, u64, u64);
+
+/// The at-most-once table of one incarnation.
+///
+/// Requests must have been verified by [`super::id::Mint::verify`]: the table tells sessions apart by
+/// their numbers only.
+#[derive(Debug)]
+pub struct Table {
+    limits: Limits,
+    sessions: BTreeMap<u64, Session>,
+    /// The highest forgotten session; sessions up to it are refused unless they are in the table.
+    floor: Option<u64>,
+    running: BTreeSet<Age>,
+    settled: BTreeSet<Age>,
+    bytes: usize,
+}
+
+impl Table {
+    /// Opens an empty table.
+    pub const fn open(limits: Limits) -> Self {
+        Self {
+            limits,
+            sessions: BTreeMap::new(),
+            floor: None,
+            running: BTreeSet::new(),
+            settled: BTreeSet::new(),
+            bytes: 0,
+        }
+    }
+
+    /// Returns the number of entries.
+    pub fn len(&self) -> usize {
+        self.running.len() + self.settled.len()
+    }
+
+    /// Tells whether the table has no entries.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Returns the bytes that the entries are charged with.
+    pub const fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Decides what to do with a request whose body has this digest (see [`digest`]).
+    pub fn begin(&mut self, request: &Request, digest: u128, now: Moment) -> Admission {
+        let (session, sequence) = (request.session.number, request.sequence);
+        self.doubt(now);
+        if let Some(entry) = self.entry(session, sequence) {
+            if entry.digest != digest {
+                return Admission::Refuse(Reason::ReusedRequestId);
+            }
+            match &entry.state {
+                State::Running => return Admission::Running,
+                State::Answered(reply) => return Admission::Answer(reply.clone()),
+                State::Unknown => return Admission::Refuse(Reason::OutcomeUnknown),
+                // The new run replaces the entry of the one that did not start.
+                State::NotRun => self.remove(session, sequence),
+            }
+        } else if self.is_below(session, sequence) {
+            return Admission::Refuse(Reason::RequestIdTooOld);
+        }
+        if !self.make_room(session, now) {
+            return Admission::Refuse(Reason::QueueFull);
+        }
+        // Making room may have raised the watermark of this very session.
+        if self.is_below(session, sequence) {
+            return Admission::Refuse(Reason::RequestIdTooOld);
+        }
+        let bytes = self.reservation();
+        let entry = Entry {
+            digest,
+            state: State::Running,
+            since: now,
+            bytes,
+        };
+        self.insert(session, sequence, entry);
+        Admission::Start
+    }
+
+    /// Records how a run ended; returns whether the request was running.
+    pub fn settle(&mut self, request: &Request, settlement: Settlement, now: Moment) -> bool {
+        let (session, sequence) = (request.session.number, request.sequence);
+        let running = |it: &&Entry| matches!(it.state, State::Running);
+        let Some(digest) = self
+            .entry(session, sequence)
+            .filter(running)
+            .map(|it| it.digest)
+        else {
+            return false;
+        };
+        self.remove(session, sequence);
+        let mut state = match settlement {
+            Settlement::Answered(reply) => State::Answered(reply),
+            Settlement::NotRun(_) => State::NotRun,
+            Settlement::Unknown => State::Unknown,
+        };
+        let mut bytes = ENTRY_BYTES;
+        if let State::Answered(reply) = &state {
+            bytes += reply.body.len();
+            while self.bytes + bytes > self.limits.bytes && self.evict(now) {}
+            if self.bytes + bytes > self.limits.bytes {
+                // A reply that does not fit cannot be repeated; that it ran must still be known.
+                state = State::Unknown;
+                bytes = ENTRY_BYTES;
+            }
+        }
+        let entry = Entry {
+            digest,
+            state,
+            since: now,
+            bytes,
+        };
+        self.insert(session, sequence, entry);
+        true
+    }
+
+    /// Removes settled entries past their retention, and counts runs that never settled as unknown.
+    pub fn expire(&mut self, now: Moment) {
+        self.doubt(now);
+        while self.evict(now) {}
+    }
+
+    /// Counts runs as unknown that exceed the time for running: their task has been lost.
+    fn doubt(&mut self, now: Moment) {
+        while let Some(&(since, session, sequence)) = self.running.first()
+            && now.since(since) >= self.limits.running
+        {
+            let digest = self.entry(session, sequence).map(|it| it.digest);
+            self.remove(session, sequence);
+            let entry = Entry {
+                digest: digest.expect("each running id has an entry"),
+                state: State::Unknown,
+                since: now,
+                bytes: ENTRY_BYTES,
+            };
+            self.insert(session, sequence, entry);
+        }
+    }
+
+    const fn reservation(&self) -> usize {
+        ENTRY_BYTES + self.limits.reply_bytes
+    }
+
+    /// Makes room for one entry of `session`; settled entries within their retention stay.
+    fn make_room(&mut self, session: u64, now: Moment) -> bool {
+        while self.len() >= self.limits.entries
+            || self.bytes + self.reservation() > self.limits.bytes
+        {
+            if !self.evict(now) {
+                return false;
+            }
+        }
+        if self.sessions.contains_key(&session) {
+            return true;
+        }
+        if self.sessions.len() >= self.limits.sessions {
+            self.forget_sessions();
+        }
+        self.sessions.len() < self.limits.sessions
+    }
+
+    /// Removes the oldest settled entry if it is past its retention, and raises the watermark over it.
+    fn evict(&mut self, now: Moment) -> bool {
+        let Some(&(since, number, sequence)) = self.settled.first() else {
+            return false;
+        };
+        if now.since(since) < self.limits.retention {
+            return false;
+        }
+        self.remove(number, sequence);
+        let session = self
+            .sessions
+            .get_mut(&number)
+            .expect("each entry has a session");
+        session.watermark = session.watermark.max(Some(sequence));
+        true
+    }
+
+    /// Forgets the oldest sessions without entries: a sixteenth of them at once, because finding them
+    /// takes a pass over the table.
+    fn forget_sessions(&mut self) {
+        let idle =
+            |(&number, session): (&u64, &Session)| session.entries.is_empty().then_some(number);
+        let count = 1 + self.limits.sessions / 16;
+        let forgotten: Vec<u64> = self.sessions.iter().filter_map(idle).take(count).collect();
+        for number in forgotten {
+            self.sessions.remove(&number);
+            self.floor = self.floor.max(Some(number));
+        }
+    }
+
+    fn is_below(&self, session: u64, sequence: u64) -> bool {
+        self.sessions
+            .get(&session)
+            .map_or(Some(session) <= self.floor, |it| {
+                Some(sequence) <= it.watermark
+            })
+    }
+
+    fn entry(&self, session: u64, sequence: u64) -> Option<&Entry> {
+        self.sessions.get(&session)?.entries.get(&sequence)
+    }
+
+    fn insert(&mut self, number: u64, sequence: u64, entry: Entry) {
+        self.bytes += entry.bytes;
+        let ages = match entry.state {
+            State::Running => &mut self.running,
+            _ => &mut self.settled,
+        };
+        ages.insert((entry.since, number, sequence));
+        let session = self.sessions.entry(number).or_default();
+        let former = session.entries.insert(sequence, entry);
+        assert!(former.is_none(), "an id has one entry");
+    }
+
+    fn remove(&mut self, session: u64, sequence: u64) {
+        let Some(entry) = self
+            .sessions
+            .get_mut(&session)
+            .and_then(|it| it.entries.remove(&sequence))
+        else {
+            return;
+        };
+        self.bytes -= entry.bytes;
+        let age = (entry.since, session, sequence);
+        let listed = match entry.state {
+            State::Running => self.running.remove(&age),
+            _ => self.settled.remove(&age),
+        };
+        assert!(listed, "each entry is listed by age");
+    }
+}
+
+/// Returns the digest of everything that makes two requests the same.
+pub fn digest(index: &str, kind: &str, routing_key: Option<&str>, body: &[u8]) -> u128 {
+    let mut hasher = Xxh3::new();
+    for part in [
+        index.as_bytes(),
+        kind.as_bytes(),
+        routing_key.unwrap_or_default().as_bytes(),
+        body,
+    ] {
+        // The length keeps two requests apart whose parts are split differently.
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    hasher.digest128()
+}
