--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -1,4 +1,14 @@
-//! What lives for one request: its text at the callers' interface and its outcome.
+//! What lives as long as one request: the decisions from its arrival to its answer.
+//!
+//! The decisions are pure state machines: they use no clock, socket, sleep or global random number
+//! generator. See `docs/design.md`, section 6.
 
 pub mod answer;
 pub mod ask;
+pub mod choice;
+pub mod hedge;
+pub mod id;
+pub mod merge;
+pub mod once;
+pub mod scatter;
+pub mod snapshot;
--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -1,7 +1,7 @@
 //! Guards the callers' interface against bad input: every refusal is clear, says "not run", and no
 //! request reaches the handler.
 
-mod support;
+mod http;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -116,7 +116,7 @@
     #[case] reason: &str,
 ) {
     let (server, handler) = serve(Echo::default()).await;
-    let answer = support::raw(server.address(), request.as_bytes(), "}").await;
+    let answer = http::raw(server.address(), request.as_bytes(), "}").await;
     assert!(
         answer.starts_with(&format!("HTTP/1.1 {status}")),
         "{answer}"
@@ -136,7 +136,7 @@
     let mut request =
         format!("POST /v1/query/a/b HTTP/1.1\r\ncontent-length: {length}\r\n\r\n").into_bytes();
     request.resize(request.len() + length, b'x');
-    let answer = support::raw(server.address(), &request, "}").await;
+    let answer = http::raw(server.address(), &request, "}").await;
     assert!(answer.contains("\"reason\":\"body_too_large\""), "{answer}");
     assert_eq!(handler.queries.load(Ordering::Relaxed), 0);
 }
@@ -146,7 +146,7 @@
 async fn a_body_that_never_ends_is_refused() {
     let (server, handler) = serve(Echo::default()).await;
     let request = b"POST /v1/query/a/b HTTP/1.1\r\ncontent-length: 10\r\n\r\nhalf";
-    let answer = support::raw(server.address(), request, "}").await;
+    let answer = http::raw(server.address(), request, "}").await;
     assert!(answer.contains("\"reason\":\"slow_body\""), "{answer}");
     assert_eq!(handler.queries.load(Ordering::Relaxed), 0);
 }
@@ -155,7 +155,7 @@
 async fn a_good_request_is_answered_whole() {
     let (server, handler) = serve(Echo::default()).await;
     let request = b"POST /v1/query/a/b HTTP/1.1\r\ncontent-length: 3\r\n\r\nabc";
-    let answer = support::raw(server.address(), request, "}}").await;
+    let answer = http::raw(server.address(), request, "}}").await;
     assert!(answer.contains("\"snapshot\":7"), "{answer}");
     assert!(answer.contains("\"total\":3"), "{answer}");
     assert_eq!(handler.queries.load(Ordering::Relaxed), 1);
@@ -170,6 +170,6 @@
     })
     .await;
     let request = b"POST /v1/query/a/b HTTP/1.1\r\ncontent-length: 3\r\n\r\nabc";
-    let answer = support::raw(server.address(), request, "}}").await;
+    let answer = http::raw(server.address(), request, "}}").await;
     assert!(answer.contains("connection: close"), "{answer}");
 }
