--- /dev/null
+++ b/src/connection/peer.rs
@@ -0,0 +1,604 @@
+//! HTTP/2 connections between nodes.
+//!
+//! Each node keeps one connection to each other node that it talks to, and reconnects with a bounded
+//! backoff. Bodies are encoded by `rmp-serde`; the result of a scatter is a stream of frames, each
+//! preceded by its length as a big-endian `u32`.
+
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode, client, server};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::wire::{Batch, Frame};
+
+/// The path of a scatter, whose answer is a stream of frames.
+pub const SCATTER_PATH: &str = "/peer/scatter";
+
+/// The longest time to wait for a connection; it covers one lost packet of the TCP handshake.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// The delay before the second attempt to connect; it doubles with each further failure.
+pub const BACKOFF: Duration = Duration::from_millis(20);
+
+/// The longest delay between attempts to connect, below the permit's 1,500 ms, so that a peer that
+/// returns is found before its support is missed.
+pub const BACKOFF_MAX: Duration = Duration::from_millis(500);
+
+/// The interval of HTTP/2 pings on a connection with open streams, and the time to wait for one.
+pub const PING: Duration = Duration::from_secs(1);
+
+/// The longest body of a request or of a whole answer, in bytes. A batch holds a query of at most
+/// 64 KiB; settings and records are at most a few hundred KiB.
+pub const BODY_MAX: usize = 4 << 20;
+
+/// The longest frame of a scatter, in bytes: an answer of a target and its description.
+pub const FRAME_MAX: usize = (1 << 20) + 4_096;
+
+/// The time within which the body of a request must arrive whole.
+pub const BODY_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Streams that one peer may have open at once; more wait at the sender.
+pub const STREAMS_MAX: u32 = 4_096;
+
+/// Frames that are written together at most.
+const FRAMES_PER_WRITE: usize = 64;
+
+/// The flow-control window of one stream, in bytes; the answers of one batch usually fit.
+const STREAM_WINDOW: u32 = 1 << 20;
+
+/// The flow-control window of one connection, in bytes.
+const CONNECTION_WINDOW: u32 = 16 << 20;
+
+/// The largest number of bytes that wait to be written per stream.
+const SEND_BUFFER: usize = 1 << 20;
+
+/// Why a call to a peer failed.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The request was never written to a connection.
+    #[error("the request was not sent: {0}")]
+    NotSent(&'static str),
+    /// The request was written, and the connection ended before the answer.
+    #[error("the connection ended before the answer")]
+    Lost(#[source] Option<hyper::Error>),
+    /// No whole answer came in time; the request may have been handled.
+    #[error("no answer in time")]
+    Timeout,
+    /// The peer refused the request.
+    #[error("the peer answered with status {0}")]
+    Status(StatusCode),
+    /// The request or the answer could not be encoded or decoded.
+    #[error("the message is invalid: {0}")]
+    Invalid(String),
+}
+
+impl Error {
+    /// Tells whether the peer certainly did not get the request.
+    pub const fn not_sent(&self) -> bool {
+        matches!(self, Self::NotSent(_))
+    }
+}
+
+type Sender = client::conn::http2::SendRequest<Full<Bytes>>;
+
+/// The connections of this node to other nodes; clones share them.
+#[derive(Debug, Clone, Default)]
+pub struct Peers {
+    links: Arc<RwLock<HashMap<SocketAddr, Arc<Link>>>>,
+}
+
+/// The connection to one peer.
+#[derive(Debug)]
+struct Link {
+    address: SocketAddr,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+enum State {
+    /// There is no connection, and none is opened before `retry`.
+    Down { retry: Instant, backoff: Duration },
+    /// A connection is being opened; the receiver changes when that ends.
+    Opening(watch::Receiver<()>),
+    /// Requests can be sent.
+    Up(Sender),
+}
+
+impl Peers {
+    /// Creates an empty set of connections; they are opened on first use.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Closes the connections to all peers for which `keep` is false, once their streams have ended.
+    pub fn retain<F>(&self, mut keep: F)
+    where
+        F: FnMut(SocketAddr) -> bool,
+    {
+        let mut links = self.links.write().unwrap_or_else(PoisonError::into_inner);
+        links.retain(|address, _| keep(*address));
+    }
+
+    /// Sends one message and waits for the whole answer.
+    pub async fn call<Req, Res>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        message: &Req,
+        timeout: Duration,
+    ) -> Result<Res, Error>
+    where
+        Req: Serialize + Sync + ?Sized,
+        Res: DeserializeOwned,
+    {
+        let until = Instant::now() + timeout;
+        let body = self.send(address, path, message, until).await?;
+        let body = tokio::time::timeout_at(until, Limited::new(body, BODY_MAX).collect())
+            .await
+            .map_err(|_elapsed| Error::Timeout)?
+            .map_err(|error| match error.downcast::<hyper::Error>() {
+                Ok(error) => Error::Lost(Some(*error)),
+                Err(error) => Error::Invalid(error.to_string()),
+            })?
+            .to_bytes();
+        rmp_serde::from_slice(&body).map_err(|error| Error::Invalid(error.to_string()))
+    }
+
+    /// Sends a batch and returns the stream of its results; dropping the stream cancels the batch.
+    pub async fn scatter(
+        &self,
+        address: SocketAddr,
+        batch: &Batch,
+        timeout: Duration,
+    ) -> Result<Frames, Error> {
+        let until = Instant::now() + timeout;
+        let body = self.send(address, SCATTER_PATH, batch, until).await?;
+        Ok(Frames {
+            body,
+            buffer: Bytes::new(),
+            until,
+        })
+    }
+
+    async fn send<Req>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        message: &Req,
+        until: Instant,
+    ) -> Result<Incoming, Error>
+    where
+        Req: Serialize + Sync + ?Sized,
+    {
+        let body = rmp_serde::to_vec(message).map_err(|error| Error::Invalid(error.to_string()))?;
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri(format!("http://{address}{path}"))
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|error| Error::Invalid(error.to_string()))?;
+        let mut sender = tokio::time::timeout_at(until, self.link(address).sender())
+            .await
+            .map_err(|_elapsed| Error::NotSent("no connection in time"))??;
+        let response = tokio::time::timeout_at(until, sender.try_send_request(request))
+            .await
+            .map_err(|_elapsed| Error::Timeout)?
+            .map_err(|mut error| {
+                if error.take_message().is_some() {
+                    Error::NotSent("the connection ended before the request was written")
+                } else {
+                    Error::Lost(Some(error.into_error()))
+                }
+            })?;
+        if response.status() != StatusCode::OK {
+            return Err(Error::Status(response.status()));
+        }
+        Ok(response.into_body())
+    }
+
+    fn link(&self, address: SocketAddr) -> Arc<Link> {
+        let links = self.links.read().unwrap_or_else(PoisonError::into_inner);
+        if let Some(link) = links.get(&address) {
+            return Arc::clone(link);
+        }
+        drop(links);
+        let mut links = self.links.write().unwrap_or_else(PoisonError::into_inner);
+        let link = links.entry(address).or_insert_with(|| {
+            Arc::new(Link {
+                address,
+                state: Mutex::new(State::Down {
+                    retry: Instant::now(),
+                    backoff: BACKOFF,
+                }),
+            })
+        });
+        Arc::clone(link)
+    }
+}
+
+impl Link {
+    /// Returns a sender for an open connection, and opens one if there is none.
+    async fn sender(self: &Arc<Self>) -> Result<Sender, Error> {
+        let mut opened = match self.current()? {
+            Ok(sender) => return Ok(sender),
+            Err(opening) => opening,
+        };
+        // The sender of the channel is dropped without a value when the attempt has ended.
+        let _ended = opened.changed().await;
+        match &*self.lock() {
+            State::Up(sender) => Ok(sender.clone()),
+            State::Down { .. } | State::Opening(_) => {
+                Err(Error::NotSent("the connection could not be opened"))
+            }
+        }
+    }
+
+    /// Returns the open connection, or a signal for the end of the attempt to open one.
+    fn current(self: &Arc<Self>) -> Result<Result<Sender, watch::Receiver<()>>, Error> {
+        let mut state = self.lock();
+        let backoff = match &*state {
+            State::Up(sender) if !sender.is_closed() => return Ok(Ok(sender.clone())),
+            State::Opening(opening) => return Ok(Err(opening.clone())),
+            State::Down { retry, .. } if Instant::now() < *retry => {
+                return Err(Error::NotSent("the last attempt to connect failed"));
+            }
+            State::Down { backoff, .. } => *backoff,
+            State::Up(_) => BACKOFF,
+        };
+        let (ended, opening) = watch::channel(());
+        *state = State::Opening(opening.clone());
+        let link = Arc::clone(self);
+        // The attempt outlives the call that began it, because later calls need the connection, too.
+        tokio::spawn(async move {
+            let opened = tokio::time::timeout(CONNECT_TIMEOUT, connect(link.address)).await;
+            *link.lock() = match opened {
+                Ok(Ok(sender)) => State::Up(sender),
+                Ok(Err(_)) | Err(_) => State::Down {
+                    retry: Instant::now() + backoff,
+                    backoff: (backoff * 2).min(BACKOFF_MAX),
+                },
+            };
+            drop(ended);
+        });
+        Ok(Err(opening))
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn connect(address: SocketAddr) -> anyhow::Result<Sender> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let (sender, connection) = client::conn::http2::Builder::new(TokioExecutor::new())
+        .timer(TokioTimer::new())
+        .initial_stream_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW)
+        .max_send_buf_size(SEND_BUFFER)
+        .keep_alive_interval(PING)
+        .keep_alive_timeout(PING)
+        .handshake(TokioIo::new(stream))
+        .await?;
+    // The sender reports the end of the connection, so its result is not needed here.
+    tokio::spawn(connection);
+    Ok(sender)
+}
+
+/// The stream of the results of one batch; dropping it cancels what has no result yet.
+#[derive(Debug)]
+pub struct Frames {
+    body: Incoming,
+    buffer: Bytes,
+    until: Instant,
+}
+
+impl Frames {
+    /// Waits for the next result; `None` means that the peer sends no more.
+    ///
+    /// A leg without a frame by then may have run.
+    pub async fn next(&mut self) -> Option<Result<Frame, Error>> {
+        loop {
+            match self.parse() {
+                Ok(Some(frame)) => return Some(Ok(frame)),
+                Ok(None) => {}
+                Err(error) => return Some(Err(error)),
+            }
+            let Ok(chunk) = tokio::time::timeout_at(self.until, self.body.frame()).await else {
+                return Some(Err(Error::Timeout));
+            };
+            match chunk {
+                None if self.buffer.is_empty() => return None,
+                None => return Some(Err(Error::Lost(None))),
+                Some(Err(error)) => return Some(Err(Error::Lost(Some(error)))),
+                Some(Ok(chunk)) => {
+                    if let Ok(data) = chunk.into_data() {
+                        self.extend(data);
+                    }
+                }
+            }
+        }
+    }
+
+    fn extend(&mut self, data: Bytes) {
+        if self.buffer.is_empty() {
+            self.buffer = data;
+            return;
+        }
+        let mut joined = BytesMut::with_capacity(self.buffer.len() + data.len());
+        joined.extend_from_slice(&self.buffer);
+        joined.extend_from_slice(&data);
+        self.buffer = joined.freeze();
+    }
+
+    fn parse(&mut self) -> Result<Option<Frame>, Error> {
+        let Some(prefix) = self.buffer.first_chunk() else {
+            return Ok(None);
+        };
+        let length = u32::from_be_bytes(*prefix) as usize;
+        if length > FRAME_MAX {
+            return Err(Error::Invalid(format!("a frame has {length} bytes")));
+        }
+        if self.buffer.len() < size_of::<u32>() + length {
+            return Ok(None);
+        }
+        self.buffer.advance(size_of::<u32>());
+        let frame = self.buffer.split_to(length);
+        rmp_serde::from_slice(&frame)
+            .map(Some)
+            .map_err(|error| Error::Invalid(error.to_string()))
+    }
+}
+
+/// Appends a frame and its length to `buffer`.
+fn encode(frame: &Frame, buffer: &mut BytesMut) {
+    let start = buffer.len();
+    buffer.put_u32(0);
+    rmp_serde::encode::write(&mut buffer.writer(), frame)
+        .expect("a frame holds only types that can be encoded");
+    let length = buffer.len() - start - size_of::<u32>();
+    let length = u32::try_from(length).expect("answers are bounded far below 4 GiB");
+    buffer[start..start + size_of::<u32>()].copy_from_slice(&length.to_be_bytes());
+}
+
+/// What a node does with the requests of its peers.
+pub trait Service: Send + Sync + 'static {
+    /// Stands for a running batch; dropping it cancels what has no result yet.
+    type Running: Send + Unpin + 'static;
+
+    /// Answers one encoded message with another, or with a status other than 200.
+    fn call(
+        &self,
+        path: &str,
+        body: Bytes,
+    ) -> impl Future<Output = Result<Bytes, StatusCode>> + Send;
+
+    /// Starts a batch; one frame per leg goes to `reply`.
+    fn scatter(&self, batch: Batch, reply: mpsc::UnboundedSender<Frame>) -> Self::Running;
+}
+
+/// A running server for peers.
+#[derive(Debug)]
+pub struct Server {
+    address: SocketAddr,
+    stop: CancellationToken,
+    connections: TaskTracker,
+    accept: JoinHandle<()>,
+}
+
+impl Server {
+    /// Returns the address at which the server listens.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Accepts no further connections and streams, and waits until the open streams have ended.
+    pub async fn close(self) {
+        self.stop.cancel();
+        self.connections.close();
+        self.connections.wait().await;
+        // The accept loop ends by the same signal and cannot fail.
+        let _ended = self.accept.await;
+    }
+}
+
+/// Serves peers on `listener` until the returned server is closed.
+pub fn serve<S>(listener: TcpListener, service: Arc<S>) -> std::io::Result<Server>
+where
+    S: Service,
+{
+    let address = listener.local_addr()?;
+    let stop = CancellationToken::new();
+    let connections = TaskTracker::new();
+    let accept = tokio::spawn(accept(listener, service, stop.clone(), connections.clone()));
+    Ok(Server {
+        address,
+        stop,
+        connections,
+        accept,
+    })
+}
+
+/// The delay after a failed accept, for example when there are too many open files.
+const ACCEPT_DELAY: Duration = Duration::from_millis(50);
+
+async fn accept<S>(
+    listener: TcpListener,
+    service: Arc<S>,
+    stop: CancellationToken,
+    connections: TaskTracker,
+) where
+    S: Service,
+{
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.cancelled() => return,
+        };
+        match accepted {
+            Ok((stream, _peer)) => {
+                let connection = serve_connection(stream, Arc::clone(&service), stop.clone());
+                connections.spawn(connection);
+            }
+            Err(_) => tokio::time::sleep(ACCEPT_DELAY).await,
+        }
+    }
+}
+
+async fn serve_connection<S>(stream: TcpStream, service: Arc<S>, stop: CancellationToken)
+where
+    S: Service,
+{
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let service = service_fn(move |request| {
+        let service = Arc::clone(&service);
+        async move { Ok::<_, Infallible>(answer(&*service, request).await) }
+    });
+    let connection = server::conn::http2::Builder::new(TokioExecutor::new())
+        .timer(TokioTimer::new())
+        .max_concurrent_streams(STREAMS_MAX)
+        .initial_stream_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW)
+        .max_send_buf_size(SEND_BUFFER)
+        .keep_alive_interval(PING * 10)
+        .keep_alive_timeout(PING * 10)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    tokio::select! {
+        // The client learns of the end of the connection by itself.
+        _ended = &mut connection => return,
+        () = stop.cancelled() => connection.as_mut().graceful_shutdown(),
+    }
+    let _ended = connection.await;
+}
+
+async fn answer<S>(service: &S, request: Request<Incoming>) -> Response<Answer<S::Running>>
+where
+    S: Service,
+{
+    let (head, body) = request.into_parts();
+    if head.method != Method::POST {
+        return refuse(StatusCode::METHOD_NOT_ALLOWED);
+    }
+    let body = match read_body(body).await {
+        Ok(body) => body,
+        Err(status) => return refuse(status),
+    };
+    if head.uri.path() != SCATTER_PATH {
+        return match service.call(head.uri.path(), body).await {
+            Ok(body) => Response::new(Answer::Whole(Some(body))),
+            Err(status) => refuse(status),
+        };
+    }
+    let Ok(batch) = rmp_serde::from_slice::<Batch>(&body) else {
+        return refuse(StatusCode::BAD_REQUEST);
+    };
+    let missing = batch.legs.len();
+    let (sender, frames) = mpsc::unbounded_channel();
+    let running = service.scatter(batch, sender);
+    Response::new(Answer::Stream {
+        frames,
+        missing,
+        _running: running,
+    })
+}
+
+async fn read_body(body: Incoming) -> Result<Bytes, StatusCode> {
+    if body.size_hint().lower() > BODY_MAX as u64 {
+        return Err(StatusCode::PAYLOAD_TOO_LARGE);
+    }
+    match tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, BODY_MAX).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(_)) => Err(StatusCode::PAYLOAD_TOO_LARGE),
+        Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
+    }
+}
+
+fn refuse<R>(status: StatusCode) -> Response<Answer<R>> {
+    let mut response = Response::new(Answer::Whole(None));
+    *response.status_mut() = status;
+    response
+}
+
+/// The body of an answer.
+enum Answer<R> {
+    /// One encoded message.
+    Whole(Option<Bytes>),
+    /// The results of a batch as they come.
+    Stream {
+        frames: mpsc::UnboundedReceiver<Frame>,
+        missing: usize,
+        _running: R,
+    },
+}
+
+impl<R> Body for Answer<R>
+where
+    R: Unpin,
+{
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<hyper::body::Frame<Bytes>, Infallible>>> {
+        let data = match self.get_mut() {
+            Self::Whole(body) => body.take(),
+            Self::Stream { missing: 0, .. } => None,
+            Self::Stream {
+                frames, missing, ..
+            } => {
+                let mut batch = Vec::new();
+                let count = ready!(frames.poll_recv_many(cx, &mut batch, FRAMES_PER_WRITE));
+                *missing = if count == 0 {
+                    0
+                } else {
+                    missing.saturating_sub(count)
+                };
+                let mut buffer = BytesMut::with_capacity(batch.iter().map(size).sum());
+                for frame in &batch {
+                    encode(frame, &mut buffer);
+                }
+                (count > 0).then(|| buffer.freeze())
+            }
+        };
+        Poll::Ready(data.map(|data| Ok(hyper::body::Frame::data(data))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole(body) => body.is_none(),
+            Self::Stream { missing, .. } => *missing == 0,
+        }
+    }
+}
+
+/// Estimates the encoded size of a frame, so that its buffer rarely grows.
+fn size(frame: &Frame) -> usize {
+    /// Covers the numbers and the field names of a frame.
+    const FIXED: usize = 64;
+    match &frame.outcome {
+        crate::wire::Outcome::Answer { request, body, .. } => FIXED + request.len() + body.len(),
+        crate::wire::Outcome::Failure(_) => FIXED,
+    }
+}
--- /dev/null
+++ b/src/process/gate.rs
@@ -0,0 +1,377 @@
+//! What runs at one target, what waits for it, and what is refused.
+//!
+//! A gate is a pure state machine: it knows neither clock nor socket, and the caller carries out the
+//! [`Action`]s that it returns. `docs/decisions/001-one-gateway-per-target.md` gives the reason for
+//! one gate per target.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use slotmap::new_key_type;
+use smallvec::SmallVec;
+
+use super::ramp::Ramp;
+use crate::time::Moment;
+use crate::version::policy;
+use crate::wire::{Load, Reason};
+
+new_key_type! {
+    /// Identifies one job of one gate.
+    pub struct JobKey;
+}
+
+/// The time for which an abandoned job holds its slot if the target confirms nothing.
+///
+/// The target may still work on the job. After this time it has either reacted to the cancellation
+/// and the deadline, or it is stuck, and the slot is needed to find out whether it recovers.
+pub const ABANDONED_HOLD: Duration = Duration::from_millis(500);
+
+/// One request for the gate's target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Job {
+    /// The caller's name for the job.
+    pub key: JobKey,
+    /// The moment by which the answer must be there.
+    pub deadline: Moment,
+    /// The place in the queue; lower numbers go first.
+    pub priority: u8,
+    /// Whether the work may be run more than once.
+    pub idempotent: bool,
+}
+
+/// How a dispatched job ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Completion {
+    /// The target answered.
+    Answered {
+        /// The generation that the target reported.
+        generation: Option<u64>,
+    },
+    /// The job certainly does not run at the target.
+    Refused(Reason),
+    /// The job may have run, or may still run, at the target.
+    Lost(Reason),
+}
+
+/// What happens to a gate.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Event {
+    /// A job arrives.
+    Offer(Job),
+    /// A dispatched job ended.
+    Finished {
+        /// The job.
+        key: JobKey,
+        /// How it ended.
+        result: Completion,
+    },
+    /// Nobody waits for the job any longer.
+    Cancel(JobKey),
+    /// The moment that [`Gate::wake`] named has come.
+    Tick,
+    /// The settings of the target changed.
+    Policy(policy::Target),
+    /// The target reported its generation outside of an answer.
+    Generation(u64),
+    /// The target may have been restarted, for example because it closed all connections.
+    Suspect,
+    /// The target gets no new work; the reason answers what is queued and what arrives later.
+    Close(Reason),
+    /// The target gets new work again, at the earliest at the given moment, and counts as cold.
+    Reopen(Moment),
+}
+
+/// What the caller of a gate must do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Action {
+    /// Send the job to the target now.
+    Dispatch(JobKey),
+    /// Answer the job with the reason; it was never dispatched.
+    Refuse(JobKey, Reason),
+    /// Answer the dispatched job with [`Reason::Timeout`] and cancel it at the target.
+    Abort(JobKey),
+    /// Drop the connection of a job that was aborted or lost; its slot is free again.
+    Release(JobKey),
+}
+
+/// The actions of one step, in the order in which to carry them out.
+pub type Actions = SmallVec<[Action; 4]>;
+
+/// A waiting job; the order of the fields is the order of the queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Queued {
+    priority: u8,
+    deadline: Moment,
+    key: JobKey,
+    idempotent: bool,
+}
+
+/// A job that occupies a slot.
+#[derive(Debug, Clone, Copy)]
+struct Running {
+    key: JobKey,
+    started: Moment,
+    /// The deadline of a job that is waited for, or the end of the hold of an abandoned one.
+    until: Moment,
+    idempotent: bool,
+    abandoned: bool,
+}
+
+/// The gate of one owned target.
+#[derive(Debug, Clone)]
+pub struct Gate {
+    policy: policy::Target,
+    valid_from: Moment,
+    ramp: Ramp,
+    queue: BTreeSet<Queued>,
+    /// No queued job has an earlier deadline.
+    queue_until: Moment,
+    running: SmallVec<[Running; 8]>,
+    closed: Option<Reason>,
+}
+
+impl Gate {
+    /// Opens the gate of a target that may get work from `valid_from` on.
+    pub fn open(policy: policy::Target, valid_from: Moment, now: Moment) -> Self {
+        Self {
+            policy,
+            valid_from,
+            ramp: Ramp::open(policy, now),
+            queue: BTreeSet::new(),
+            queue_until: Moment::NEVER,
+            running: SmallVec::new(),
+            closed: None,
+        }
+    }
+
+    /// Handles one event; new work is dispatched only before `permit_until`.
+    pub fn step(&mut self, event: Event, now: Moment, permit_until: Moment) -> Actions {
+        let mut actions = Actions::new();
+        match event {
+            Event::Offer(job) => self.offer(job, now, &mut actions),
+            Event::Finished { key, result } => self.finish(key, result, now),
+            Event::Cancel(key) => self.cancel(key, now, &mut actions),
+            Event::Tick => {}
+            Event::Policy(policy) => {
+                self.policy = policy;
+                self.ramp.set_policy(policy, now);
+            }
+            Event::Generation(generation) => self.ramp.observe_generation(generation, now),
+            Event::Suspect => self.ramp.suspect(now),
+            Event::Close(reason) => {
+                self.closed = Some(reason);
+                self.refuse_queue(reason, &mut actions);
+            }
+            Event::Reopen(valid_from) => {
+                self.closed = None;
+                self.valid_from = valid_from;
+                self.ramp.cool(now);
+            }
+        }
+        self.expire_running(now, &mut actions);
+        self.expire_queue(now, &mut actions);
+        self.dispatch(now, permit_until, &mut actions);
+        while self.queue.len() > usize::from(self.policy.queue) {
+            if let Some(worst) = self.queue.pop_last() {
+                actions.push(Action::Refuse(worst.key, Reason::QueueFull));
+            }
+        }
+        actions
+    }
+
+    /// Returns when the gate needs a [`Event::Tick`] at the latest, if nothing else happens.
+    pub fn wake(&self) -> Option<Moment> {
+        let running = self.running.iter().map(|running| running.until).min();
+        let queue = (!self.queue.is_empty()).then_some(self.queue_until);
+        let start = (!self.queue.is_empty() && self.has_slot()).then(|| self.ramp.next_start());
+        [running, queue, start].into_iter().flatten().min()
+    }
+
+    /// Returns the load of the target as the gate counts it.
+    pub fn load(&self) -> Load {
+        Load {
+            queued: u16::try_from(self.queue.len()).unwrap_or(u16::MAX),
+            running: u16::try_from(self.running.len()).unwrap_or(u16::MAX),
+            limit: self.ramp.limit(),
+            latency_us: u32::try_from(self.ramp.latency().as_micros()).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Returns the ramp of the target.
+    pub const fn ramp(&self) -> &Ramp {
+        &self.ramp
+    }
+
+    /// Returns why the gate takes no work, if it is closed.
+    pub const fn closed(&self) -> Option<Reason> {
+        self.closed
+    }
+
+    /// Tells whether nothing waits and nothing runs.
+    pub fn is_idle(&self) -> bool {
+        self.queue.is_empty() && self.running.is_empty()
+    }
+
+    fn offer(&mut self, job: Job, now: Moment, actions: &mut Actions) {
+        if let Some(reason) = self.closed {
+            actions.push(Action::Refuse(job.key, reason));
+            return;
+        }
+        self.ramp.observe(self.running.len(), now);
+        let queued = Queued {
+            priority: job.priority,
+            deadline: job.deadline,
+            key: job.key,
+            idempotent: job.idempotent,
+        };
+        if now + self.expected_time(&queued, now) > job.deadline {
+            actions.push(Action::Refuse(job.key, Reason::Expired));
+            return;
+        }
+        self.queue_until = self.queue_until.min(job.deadline);
+        let fresh = self.queue.insert(queued);
+        debug_assert!(fresh, "a job key is offered once");
+    }
+
+    /// Estimates the time until the answer of a job if it is queued now.
+    fn expected_time(&self, job: &Queued, now: Moment) -> Duration {
+        let ahead = u32::try_from(self.queue.range(..job).count()).unwrap_or(u32::MAX);
+        let paced = now.until(self.ramp.next_start()) + self.ramp.interval().saturating_mul(ahead);
+        let Some(latency) = self.ramp.trusted_latency(now) else {
+            return paced;
+        };
+        let limit = u32::from(self.ramp.limit().max(1));
+        let free = limit.saturating_sub(u32::try_from(self.running.len()).unwrap_or(u32::MAX));
+        let rounds = if ahead < free {
+            0
+        } else {
+            (ahead - free) / limit + 1
+        };
+        paced.max(latency.saturating_mul(rounds)) + latency
+    }
+
+    fn finish(&mut self, key: JobKey, result: Completion, now: Moment) {
+        let Some(index) = self.running.iter().position(|running| running.key == key) else {
+            // The slot was already released; the answer comes too late to say anything new.
+            return;
+        };
+        let started = self.running[index].started;
+        match result {
+            Completion::Answered { generation } => {
+                self.running.swap_remove(index);
+                self.ramp.answer(started, generation, now);
+            }
+            Completion::Refused(reason) => {
+                self.running.swap_remove(index);
+                self.ramp.refuse(reason, started, now);
+            }
+            Completion::Lost(reason @ (Reason::TargetError | Reason::MismatchedAnswer)) => {
+                // The target answered, so it no longer works on the job.
+                self.running.swap_remove(index);
+                self.ramp.lose(reason, started, now);
+            }
+            Completion::Lost(reason) => {
+                let running = &mut self.running[index];
+                if !running.abandoned {
+                    running.abandoned = true;
+                    running.until = now + ABANDONED_HOLD;
+                }
+                self.ramp.lose(reason, started, now);
+            }
+        }
+    }
+
+    fn cancel(&mut self, key: JobKey, now: Moment, actions: &mut Actions) {
+        if let Some(queued) = self.queue.iter().find(|queued| queued.key == key).copied() {
+            self.queue.remove(&queued);
+            actions.push(Action::Refuse(key, Reason::Cancelled));
+            return;
+        }
+        let running = self.running.iter_mut().find(|running| running.key == key);
+        // Non-idempotent work that has started is left to finish, because cancelling it would make
+        // an outcome unknown that the at-most-once table can still learn.
+        if let Some(running) = running.filter(|running| running.idempotent && !running.abandoned) {
+            running.abandoned = true;
+            running.until = now + ABANDONED_HOLD;
+            actions.push(Action::Abort(key));
+        }
+    }
+
+    /// Aborts running jobs whose deadline has passed and frees slots whose hold has ended.
+    fn expire_running(&mut self, now: Moment, actions: &mut Actions) {
+        let ramp = &mut self.ramp;
+        self.running.retain(|running| {
+            if running.until > now {
+                return true;
+            }
+            if running.abandoned {
+                actions.push(Action::Release(running.key));
+                return false;
+            }
+            running.abandoned = true;
+            running.until = now + ABANDONED_HOLD;
+            ramp.lose(Reason::Timeout, running.started, now);
+            actions.push(Action::Abort(running.key));
+            true
+        });
+    }
+
+    /// Refuses queued jobs whose deadline has passed.
+    fn expire_queue(&mut self, now: Moment, actions: &mut Actions) {
+        if now < self.queue_until {
+            return;
+        }
+        self.queue_until = Moment::NEVER;
+        let until = &mut self.queue_until;
+        self.queue.retain(|queued| {
+            if queued.deadline > now {
+                *until = (*until).min(queued.deadline);
+                return true;
+            }
+            actions.push(Action::Refuse(queued.key, Reason::Expired));
+            false
+        });
+    }
+
+    fn dispatch(&mut self, now: Moment, permit_until: Moment, actions: &mut Actions) {
+        if now >= permit_until || now < self.valid_from {
+            // A replica may have a gateway that may dispatch, so waiting for a permit costs time.
+            self.refuse_queue(Reason::NoPermit, actions);
+            return;
+        }
+        while self.has_slot() && self.ramp.next_start() <= now {
+            let Some(job) = self.queue.pop_first() else {
+                return;
+            };
+            let latency = self.ramp.trusted_latency(now).unwrap_or_default();
+            if job.deadline <= now || now + latency > job.deadline {
+                actions.push(Action::Refuse(job.key, Reason::Expired));
+                continue;
+            }
+            self.ramp.start(now);
+            self.running.push(Running {
+                key: job.key,
+                started: now,
+                until: job.deadline,
+                idempotent: job.idempotent,
+                abandoned: false,
+            });
+            assert!(
+                self.running.len() <= usize::from(self.policy.slots),
+                "more jobs run than the target has slots"
+            );
+            actions.push(Action::Dispatch(job.key));
+        }
+    }
+
+    fn has_slot(&self) -> bool {
+        self.running.len() < usize::from(self.ramp.limit().min(self.policy.slots))
+    }
+
+    fn refuse_queue(&mut self, reason: Reason, actions: &mut Actions) {
+        while let Some(queued) = self.queue.pop_first() {
+            actions.push(Action::Refuse(queued.key, reason));
+        }
+        self.queue_until = Moment::NEVER;
+    }
+}
--- /dev/null
+++ b/src/process/ramp.rs
@@ -0,0 +1,397 @@
+//! How much load a target bears now: the cold start of one target.
+//!
+//! A cold target serves only a small load and fails under a full one. The ramp therefore limits how
+//! many requests run at once and how soon the next may start, and it raises both step by step while
+//! answers are good. `docs/decisions/002-cold-start.md` gives the alternatives.
+
+use std::time::Duration;
+
+use crate::time::Moment;
+use crate::version::policy;
+use crate::wire::Reason;
+
+/// Good answers after which a warming target moves one step up.
+///
+/// Each step at most doubles the load, so four answers show the effect of a step before the next.
+pub const STEP_ANSWERS: u32 = 4;
+
+/// Good answers after which a target that shed load gets one more slot.
+///
+/// Growth after load shedding is slower than in a cold start, because the limit was just exceeded.
+pub const RECOVERY_ANSWERS: u32 = 16;
+
+/// The delay of the next start after a shed answer; it doubles with each further shed answer.
+pub const SHED_DELAY: Duration = Duration::from_millis(20);
+
+/// The longest delay after shed answers, so that a recovered target is found within a second.
+pub const SHED_DELAY_MAX: Duration = Duration::from_secs(1);
+
+/// Consecutive shed answers after which the target counts as cold.
+pub const SHED_LIMIT: u32 = 3;
+
+/// Idle time after which a target may have been restarted unnoticed and must prove itself again.
+pub const IDLE_SUSPECT: Duration = Duration::from_secs(5);
+
+/// Idle time after which a target counts as cold, because its caches no longer hold the index.
+pub const IDLE_COLD: Duration = Duration::from_mins(1);
+
+/// The factor over the recent latency from which an answer counts as slow.
+pub const SURGE_FACTOR: u32 = 4;
+
+/// The least excess over the recent latency of a slow answer; it keeps the jitter of fast targets
+/// from counting as a surge.
+pub const SURGE_EXCESS: Duration = Duration::from_millis(20);
+
+/// Consecutive slow answers that make a target cold; single stragglers are normal.
+pub const SURGE_ANSWERS: u32 = 3;
+
+/// The age beyond which a latency figure decides nothing, so that an outdated high figure cannot
+/// refuse all the work that would correct it.
+pub const LATENCY_TRUST: Duration = Duration::from_secs(1);
+
+/// The weight of one answer in the recent latency is one in this number.
+const LATENCY_WEIGHT: u64 = 8;
+
+/// The longest interval between starts, so that a slow cold rate still makes progress.
+const INTERVAL_MAX: Duration = Duration::from_secs(1);
+
+/// What the ramp takes the target for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    /// The target bears only the cold concurrency and the cold rate.
+    Cold,
+    /// Concurrency and rate double with each step.
+    Warming,
+    /// The target shed load; concurrency grows by one with each step.
+    Recovering,
+    /// All slots may be used at any rate.
+    Warm,
+}
+
+/// The load that a target bears in one stage.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Level {
+    stage: Stage,
+    /// Requests that may run at once.
+    limit: u16,
+    /// The time between two starts; zero is unpaced.
+    interval: Duration,
+    /// Good answers at this level.
+    good: u32,
+    /// Answers to requests that started earlier say nothing about this level.
+    since: Moment,
+}
+
+/// The cold start of one target.
+#[derive(Debug, Clone)]
+pub struct Ramp {
+    policy: policy::Target,
+    level: Level,
+    /// The level to return to if the next answer shows that the target was not restarted.
+    suspended: Option<Level>,
+    next_start: Moment,
+    generation: Option<u64>,
+    latency_us: u64,
+    latency_at: Option<Moment>,
+    slow: u32,
+    shed: u32,
+    shed_at: Moment,
+    last_start: Moment,
+    last_use: Moment,
+}
+
+impl Ramp {
+    /// Opens the ramp of a target of which nothing is known, so it counts as cold.
+    pub fn open(policy: policy::Target, now: Moment) -> Self {
+        Self {
+            policy,
+            level: Level::cold(&policy, now),
+            suspended: None,
+            next_start: now,
+            generation: None,
+            latency_us: 0,
+            latency_at: None,
+            slow: 0,
+            shed: 0,
+            shed_at: Moment::ZERO,
+            last_start: Moment::ZERO,
+            last_use: now,
+        }
+    }
+
+    /// Returns how many requests may run at once.
+    pub fn limit(&self) -> u16 {
+        self.level.limit.min(capacity(&self.policy))
+    }
+
+    /// Returns the earliest moment at which the next request may start.
+    pub const fn next_start(&self) -> Moment {
+        self.next_start
+    }
+
+    /// Returns the time between two starts, which is zero once the target is unpaced.
+    pub const fn interval(&self) -> Duration {
+        self.level.interval
+    }
+
+    /// Returns what the ramp takes the target for.
+    pub const fn stage(&self) -> Stage {
+        self.level.stage
+    }
+
+    /// Tells whether the next answer decides if the target was restarted unnoticed.
+    pub const fn is_suspect(&self) -> bool {
+        self.suspended.is_some()
+    }
+
+    /// Returns the generation that the target last reported.
+    pub const fn generation(&self) -> Option<u64> {
+        self.generation
+    }
+
+    /// Returns the recent time from dispatch to answer, or zero before the first answer.
+    pub const fn latency(&self) -> Duration {
+        Duration::from_micros(self.latency_us)
+    }
+
+    /// Returns the recent latency if it is fresh enough to base a refusal on.
+    pub fn trusted_latency(&self, now: Moment) -> Option<Duration> {
+        let at = self.latency_at?;
+        (now.since(at) <= LATENCY_TRUST).then(|| self.latency())
+    }
+
+    /// Takes a change of the settings into account; a warm target stays warm.
+    pub fn set_policy(&mut self, policy: policy::Target, now: Moment) {
+        self.policy = policy;
+        match self.level.stage {
+            Stage::Cold => {
+                let good = self.level.good;
+                self.level = Level::cold(&policy, self.level.since);
+                self.level.good = good;
+            }
+            Stage::Warm => {
+                // More slots than before are untested, so they are reached in steps.
+                if self.level.limit < capacity(&policy) {
+                    self.level = Level {
+                        stage: Stage::Warming,
+                        good: 0,
+                        since: now,
+                        ..self.level
+                    };
+                }
+            }
+            Stage::Warming | Stage::Recovering => {}
+        }
+        self.level.limit = self.level.limit.min(capacity(&policy));
+    }
+
+    /// Takes idle time into account; call it before a decision with the number of running requests.
+    pub fn observe(&mut self, running: usize, now: Moment) {
+        if running > 0 {
+            return;
+        }
+        let idle = now.since(self.last_use);
+        if idle >= IDLE_COLD {
+            self.cool(now);
+            self.last_use = now;
+        } else if idle >= IDLE_SUSPECT && self.level.stage != Stage::Cold {
+            self.suspect(now);
+        }
+    }
+
+    /// Records that a request starts now.
+    pub fn start(&mut self, now: Moment) {
+        self.last_use = now;
+        self.last_start = now;
+        self.next_start = now + self.level.interval;
+    }
+
+    /// Records an answer whose request started at `started`.
+    pub fn answer(&mut self, started: Moment, generation: Option<u64>, now: Moment) {
+        self.last_use = now;
+        if let Some(generation) = generation {
+            self.observe_generation(generation, now);
+        }
+        let latency = now.since(started);
+        if self.is_surge(latency) {
+            self.count_slow(now);
+            return;
+        }
+        self.slow = 0;
+        self.average(latency, now);
+        if started < self.level.since {
+            return;
+        }
+        self.shed = 0;
+        if let Some(before) = self.suspended.take() {
+            // The same generation answered at the usual speed: the target was not restarted.
+            self.level = Level {
+                since: now,
+                ..before
+            };
+            self.next_start = self.next_start.min(now + self.level.interval);
+            return;
+        }
+        self.level.good = self.level.good.saturating_add(1);
+        self.step_up(now);
+    }
+
+    /// Records a refusal of the target, or of its address, for a request that started at `started`.
+    pub fn refuse(&mut self, reason: Reason, started: Moment, now: Moment) {
+        self.last_use = now;
+        match reason {
+            Reason::Shed => self.shed(started, now),
+            Reason::NotSent | Reason::Draining => self.cool(now),
+            _ => {}
+        }
+    }
+
+    /// Records that a request that started at `started` got no usable answer.
+    pub fn lose(&mut self, reason: Reason, started: Moment, now: Moment) {
+        self.last_use = now;
+        if reason == Reason::Timeout {
+            if self.is_surge(now.since(started)) {
+                self.count_slow(now);
+            }
+        } else {
+            self.suspect(now);
+        }
+    }
+
+    /// Records a generation that the target reported outside of an answer.
+    pub fn observe_generation(&mut self, generation: u64, now: Moment) {
+        if self.generation.replace(generation) != Some(generation) {
+            // The first generation seen is no change, and the target is cold or suspect until then.
+            self.cool(now);
+        }
+    }
+
+    /// Limits the load to that of a cold target until an answer shows that it was not restarted.
+    pub fn suspect(&mut self, now: Moment) {
+        if self.level.stage == Stage::Cold {
+            if self.suspended.is_none() {
+                self.level.good = 0;
+            }
+            self.level.since = now;
+            return;
+        }
+        let before = self.level;
+        self.level = Level::cold(&self.policy, now);
+        self.level.limit = self.level.limit.min(before.limit);
+        self.suspended = Some(before);
+        self.next_start = self.next_start.max(self.last_start + self.level.interval);
+    }
+
+    /// Treats the target as cold from now on.
+    pub fn cool(&mut self, now: Moment) {
+        self.level = Level::cold(&self.policy, now);
+        self.suspended = None;
+        self.slow = 0;
+        // Latencies of the warm target say nothing about the cold one.
+        self.latency_at = None;
+        self.next_start = self.next_start.max(self.last_start + self.level.interval);
+    }
+
+    /// Lowers the limit and delays the next start after a shed answer.
+    fn shed(&mut self, started: Moment, now: Moment) {
+        self.level.good = 0;
+        // Requests that ran together and were all shed report one overload, not several.
+        if started < self.shed_at {
+            return;
+        }
+        self.shed_at = now;
+        self.shed += 1;
+        let delay = (SHED_DELAY * (1 << (self.shed - 1).min(6))).min(SHED_DELAY_MAX);
+        if self.level.stage == Stage::Cold {
+            self.level.limit = (self.level.limit / 2).max(1);
+            self.level.interval = (self.level.interval * 2).min(INTERVAL_MAX);
+        } else if self.shed >= SHED_LIMIT {
+            self.cool(now);
+        } else {
+            self.level = Level {
+                stage: Stage::Recovering,
+                limit: (self.level.limit / 2).max(1),
+                good: 0,
+                since: now,
+                ..self.level
+            };
+        }
+        self.next_start = self.next_start.max(now + delay);
+    }
+
+    /// Moves to the next level when there are enough good answers at this one.
+    fn step_up(&mut self, now: Moment) {
+        let needed = match self.level.stage {
+            Stage::Cold => self.policy.cold_answers.max(1),
+            Stage::Warming => STEP_ANSWERS,
+            Stage::Recovering => RECOVERY_ANSWERS,
+            Stage::Warm => return,
+        };
+        if self.level.good < needed {
+            return;
+        }
+        let full = capacity(&self.policy);
+        let (stage, limit) = match self.level.stage {
+            Stage::Recovering => (Stage::Recovering, self.level.limit.saturating_add(1)),
+            _ => (Stage::Warming, self.level.limit.saturating_mul(2)),
+        };
+        let limit = limit.min(full);
+        let interval = self.level.interval / 2;
+        // Once pacing allows more than the slots can use, the slots alone bound the load.
+        let unpaced = interval * u32::from(full) <= self.latency();
+        let warm = limit >= full && unpaced;
+        self.level = Level {
+            stage: if warm { Stage::Warm } else { stage },
+            limit,
+            interval: if warm { Duration::ZERO } else { interval },
+            good: 0,
+            since: now,
+        };
+        self.next_start = self.next_start.min(now + self.level.interval);
+    }
+
+    /// Tells whether a latency is far above the recent one.
+    ///
+    /// Such a latency is left out of the average, which would otherwise hide the next one.
+    fn is_surge(&self, latency: Duration) -> bool {
+        let usual = self.latency();
+        self.latency_at.is_some()
+            && latency > usual * SURGE_FACTOR
+            && latency > usual + SURGE_EXCESS
+    }
+
+    fn count_slow(&mut self, now: Moment) {
+        self.slow += 1;
+        if self.slow >= SURGE_ANSWERS {
+            self.cool(now);
+        }
+    }
+
+    fn average(&mut self, latency: Duration, now: Moment) {
+        let sample = u64::try_from(latency.as_micros()).unwrap_or(u64::MAX);
+        self.latency_us = if self.latency_at.is_some() {
+            (self.latency_us * (LATENCY_WEIGHT - 1) + sample) / LATENCY_WEIGHT
+        } else {
+            sample
+        };
+        self.latency_at = Some(now);
+    }
+}
+
+impl Level {
+    fn cold(policy: &policy::Target, now: Moment) -> Self {
+        let interval = Duration::from_secs(1) / policy.cold_rate.max(1);
+        Self {
+            stage: Stage::Cold,
+            limit: policy.cold_concurrency.clamp(1, capacity(policy).max(1)),
+            interval: interval.min(INTERVAL_MAX),
+            good: 0,
+            since: now,
+        }
+    }
+}
+
+/// Returns how many requests a target can run at once: each needs a slot and a connection.
+fn capacity(policy: &policy::Target) -> u16 {
+    policy.slots.min(policy.connections)
+}
