--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -1,4 +1,6 @@
-//! What lives as long as a connection: to callers, and to operators' tools.
+//! What lives as long as one connection: to callers, operators, other nodes, targets and the store.
 
 pub mod admin;
 pub mod caller;
+pub mod peer;
+pub mod target;
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,5 +1,8 @@
 //! What lives as long as the process: its configuration, its counters, and the state it owns.
 
 pub mod config;
+pub mod gate;
+pub mod gateway;
 pub mod log;
 pub mod metrics;
+pub mod ramp;
