--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -3,4 +3,6 @@
 pub mod admin;
 pub mod caller;
 pub mod peer;
+pub mod settings;
+pub mod store;
 pub mod target;
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -6,3 +6,4 @@
 pub mod log;
 pub mod metrics;
 pub mod ramp;
+pub mod record;
