--- a/src/wire/exchange.rs
+++ b/src/wire/exchange.rs
@@ -36,7 +36,7 @@
 }
 
 /// What one node asks of another in its cell, or of a member of another cell.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Exchange {
     /// The sender.
     pub from: Member,
@@ -63,6 +63,14 @@
     pub record: Option<Record>,
     /// Whether the receiver is stopping and wants no new work.
     pub stopping: bool,
+    /// Whether this incarnation of the receiver dispatches nothing to targets any more, so that the
+    /// members that gain its targets need not wait for its permit to expire.
+    #[serde(default)]
+    pub released: bool,
+    /// Whether `GRACE` has passed since the receiver first saw its cell's member list, so that no
+    /// node removed before can still hold a permit. Acceptance by all members relies on it.
+    #[serde(default)]
+    pub settled: bool,
     /// Targets that the receiver owns and that changed since the mark.
     pub targets: Vec<Summary>,
     /// The receiver's mark after `targets`.
