Wire a node: control, ledger, coordinator and the three servers

The control actor feeds the cell and replica state machines and publishes an immutable view; requests work on one view. Summaries of targets count only from their present gateway. A target that changes its cell is used after GRACE.

--- /dev/null
+++ b/src/connection/members.rs
@@ -0,0 +1,158 @@
+//! Reads the platform's membership list (`docs/design.md`, section 10).
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::Request;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// The time allowed for one read of the list.
+const TIMEOUT: Duration = Duration::from_secs(1);
+/// The longest answer that is read: 58,000 targets of about 200 bytes each, with room to spare.
+const MAX_ANSWER: usize = 32 << 20;
+
+/// What an instance is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Role {
+    /// A process of this system.
+    Node,
+    /// A back end.
+    Target,
+}
+
+/// Whether an instance is meant to stay.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum State {
+    /// The instance is in service.
+    Live,
+    /// The instance takes no new work and will end.
+    Leaving,
+}
+
+/// One instance of the list.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Instance {
+    /// The name of the instance.
+    pub name: String,
+    /// What it is.
+    pub role: Role,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The data centre that it runs in.
+    pub data_centre: String,
+    /// The index that a target serves.
+    #[serde(default)]
+    pub index: String,
+    /// The service that a target is a replica of.
+    #[serde(default)]
+    pub service: String,
+    /// The number of a target among the replicas of its service.
+    #[serde(default)]
+    pub replica: u32,
+    /// Whether it is meant to stay.
+    pub state: State,
+}
+
+#[derive(Debug, Deserialize)]
+struct Answer {
+    revision: u64,
+    instances: Vec<Instance>,
+    /// Names that were removed since the revision that was asked for.
+    #[serde(default)]
+    removed: Vec<String>,
+}
+
+/// Why the list could not be read; the last one stays in use.
+#[derive(Debug, Error)]
+pub enum Error {
+    /// The list could not be reached.
+    #[error("the membership list cannot be reached: {0}")]
+    Unreachable(String),
+    /// The answer is not a membership list.
+    #[error("the membership list cannot be read: {0}")]
+    Malformed(String),
+    /// No whole answer came in time.
+    #[error("the membership list did not answer within {} ms", TIMEOUT.as_millis())]
+    Timeout,
+}
+
+/// The list as last read.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct List {
+    /// The revision of the list.
+    pub revision: u64,
+    /// The instances by name.
+    pub instances: BTreeMap<String, Instance>,
+}
+
+impl List {
+    /// Reads what changed and returns the list after it, or nothing if nothing changed.
+    pub async fn read(&self, address: SocketAddr) -> Result<Option<Self>, Error> {
+        let answer = timeout(TIMEOUT, fetch(address, self.revision))
+            .await
+            .map_err(|_elapsed| Error::Timeout)??;
+        let unchanged = answer.instances.is_empty() && answer.removed.is_empty();
+        if unchanged && answer.revision == self.revision {
+            return Ok(None);
+        }
+        Ok(Some(self.merge(answer)))
+    }
+
+    fn merge(&self, answer: Answer) -> Self {
+        // A revision that went back means that the list was started anew.
+        let whole = answer.revision < self.revision;
+        let mut instances = if whole {
+            BTreeMap::new()
+        } else {
+            self.instances.clone()
+        };
+        for name in &answer.removed {
+            instances.remove(name);
+        }
+        for instance in answer.instances {
+            instances.insert(instance.name.clone(), instance);
+        }
+        Self {
+            revision: answer.revision,
+            instances,
+        }
+    }
+}
+
+async fn fetch(address: SocketAddr, since: u64) -> Result<Answer, Error> {
+    let unreachable = |e: &dyn std::error::Error| Error::Unreachable(e.to_string());
+    let stream = TcpStream::connect(address)
+        .await
+        .map_err(|e| unreachable(&e))?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(|e| unreachable(&e))?;
+    tokio::spawn(async move {
+        // A broken connection shows in the answer.
+        let _ = connection.await;
+    });
+    let request = Request::get(format!("/instances?since={since}"))
+        .header("host", address.to_string())
+        .body(Empty::<Bytes>::new())
+        .expect("a constant request is valid");
+    let response = sender
+        .send_request(request)
+        .await
+        .map_err(|e| unreachable(&e))?;
+    let body = Limited::new(response.into_body(), MAX_ANSWER)
+        .collect()
+        .await
+        .map_err(|e| Error::Unreachable(e.to_string()))?
+        .to_bytes();
+    serde_json::from_slice(&body).map_err(|e| Error::Malformed(e.to_string()))
+}
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admin;
 pub mod caller;
+pub mod members;
 pub mod peer;
 pub mod settings;
 pub mod store;
--- /dev/null
+++ b/src/process/coordinator.rs
@@ -0,0 +1,275 @@
+//! Carries out the decisions of one query: sends legs to gateways and feeds results back.
+//!
+//! The decisions themselves are [`Scatter`]'s; `docs/design.md`, section 6.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+
+use super::gateway::{Gateway, Offered};
+use super::metrics::Metrics;
+use super::view::View;
+use crate::connection::peer::{self, Peers};
+use crate::request::hedge::Hedge;
+use crate::request::scatter::{Action, Event, Plan, Scatter, Verdict};
+use crate::time::{Clock, Moment};
+use crate::version::directory::TargetKey;
+use crate::wire::{Batch, Frame, Leg, Load, Member, Outcome, Reason};
+use serde::{Deserialize, Serialize};
+
+/// The path on which a node cancels one leg at a gateway.
+pub const CANCEL_PATH: &str = "/peer/cancel";
+
+/// How long a gateway's stream is read beyond the deadline, so that refusals sent in time arrive.
+const STREAM_MARGIN: Duration = Duration::from_millis(50);
+/// The time allowed for a cancellation; one that is late is of no use.
+const CANCEL_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Asks a gateway to cancel one leg.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Cancel {
+    /// The request id.
+    pub request: String,
+    /// The name of the target.
+    pub target: String,
+    /// The number of the leg.
+    pub leg: u32,
+}
+
+/// What every query of a node needs.
+#[derive(Debug, Clone)]
+pub struct Coordinator {
+    /// The name of this node.
+    pub name: String,
+    /// The clock of the process.
+    pub clock: Clock,
+    /// The counters of the process.
+    pub metrics: Metrics,
+    /// The connections to other nodes.
+    pub peers: Peers,
+    /// The gateway of this node.
+    pub gateway: Gateway,
+    /// Latencies and budgets, shared by all queries.
+    pub hedge: Arc<Mutex<Hedge>>,
+}
+
+impl Coordinator {
+    /// Runs a query to its end; dropping the future cancels what is under way.
+    pub async fn run(&self, plan: Plan, body: Bytes, view: &View) -> Verdict {
+        let (reply, results) = mpsc::unbounded_channel();
+        let now = self.clock.now();
+        let mut query = Query {
+            coordinator: self,
+            view,
+            request: plan.request.clone(),
+            index: plan.index.clone(),
+            priority: plan.policy.priority,
+            idempotent: plan.policy.idempotent,
+            deadline: plan.deadline,
+            body,
+            gateways: HashMap::new(),
+            local: Vec::new(),
+            streams: JoinSet::new(),
+            reply,
+        };
+        query.drive(Scatter::open(plan, now), results).await
+    }
+}
+
+/// One running query.
+struct Query<'a> {
+    coordinator: &'a Coordinator,
+    view: &'a View,
+    request: String,
+    index: String,
+    priority: u8,
+    idempotent: bool,
+    deadline: Moment,
+    body: Bytes,
+    /// The gateway to which each leg went.
+    gateways: HashMap<u32, Member>,
+    /// Batches at this node's own gateway; dropping them cancels.
+    local: Vec<Offered>,
+    /// Streams from other gateways; dropping them cancels.
+    streams: JoinSet<()>,
+    reply: mpsc::UnboundedSender<Frame>,
+}
+
+impl Query<'_> {
+    async fn drive(
+        &mut self,
+        mut scatter: Scatter,
+        mut results: mpsc::UnboundedReceiver<Frame>,
+    ) -> Verdict {
+        let mut event = Event::Start;
+        loop {
+            let actions = {
+                let mut hedge = self.hedge();
+                let now = self.coordinator.clock.now();
+                scatter.step(event, now, &self.view.directory, &mut hedge)
+            };
+            if let Some(verdict) = self.act(actions) {
+                return verdict;
+            }
+            let wake = scatter.wake().unwrap_or(Moment::NEVER);
+            let wake = self.coordinator.clock.instant(wake);
+            event = tokio::select! {
+                biased;
+                frame = results.recv() => match frame {
+                    Some(frame) => result(frame),
+                    // The query holds a sender, so that the channel stays open.
+                    None => Event::Tick,
+                },
+                () = tokio::time::sleep_until(wake.into()) => Event::Tick,
+            };
+        }
+    }
+
+    fn hedge(&self) -> std::sync::MutexGuard<'_, Hedge> {
+        let hedge = &self.coordinator.hedge;
+        hedge
+            .lock()
+            .expect("no code panics while it holds the budgets")
+    }
+
+    fn act(&mut self, actions: Vec<Action>) -> Option<Verdict> {
+        let mut batches: Vec<(Member, Vec<Leg>)> = Vec::new();
+        let mut verdict = None;
+        for action in actions {
+            match action {
+                Action::Send { leg, target } => self.assign(leg, target, &mut batches),
+                Action::Cancel { leg, target } => self.cancel(leg, &target),
+                Action::Finish(ended) => verdict = Some(ended),
+            }
+        }
+        for (gateway, legs) in batches {
+            self.send(gateway, legs);
+        }
+        verdict
+    }
+
+    fn assign(&mut self, leg: Leg, target: TargetKey, batches: &mut Vec<(Member, Vec<Leg>)>) {
+        self.coordinator.metrics.leg(leg.cause);
+        let Some(gateway) = &self.view.directory.target(target).gateway else {
+            self.fail(leg.number, Reason::NoTarget);
+            return;
+        };
+        self.gateways.insert(leg.number, gateway.clone());
+        match batches.iter_mut().find(|(member, _)| member == gateway) {
+            Some((_, legs)) => legs.push(leg),
+            None => batches.push((gateway.clone(), vec![leg])),
+        }
+    }
+
+    fn send(&mut self, gateway: Member, legs: Vec<Leg>) {
+        let coordinator = self.coordinator;
+        let now = coordinator.clock.now();
+        let remaining = now.until(self.deadline);
+        let batch = Batch {
+            request: self.request.clone(),
+            index: self.index.clone(),
+            remaining_us: u64::try_from(remaining.as_micros()).unwrap_or(u64::MAX),
+            priority: self.priority,
+            idempotent: self.idempotent,
+            legs,
+            body: self.body.clone(),
+        };
+        if gateway.name == coordinator.name {
+            self.local
+                .push(coordinator.gateway.offer(batch, &self.reply));
+            return;
+        }
+        let (peers, reply) = (coordinator.peers.clone(), self.reply.clone());
+        let timeout = remaining + STREAM_MARGIN;
+        self.streams.spawn(async move {
+            stream(&peers, &gateway, &batch, timeout, &reply).await;
+        });
+    }
+
+    fn cancel(&self, leg: u32, target: &str) {
+        let Some(gateway) = self.gateways.get(&leg) else {
+            return;
+        };
+        let coordinator = self.coordinator;
+        if gateway.name == coordinator.name {
+            coordinator.gateway.cancel(target, &self.request, leg);
+            return;
+        }
+        let (peers, address) = (coordinator.peers.clone(), gateway.peer);
+        let cancel = Cancel {
+            request: self.request.clone(),
+            target: target.to_owned(),
+            leg,
+        };
+        tokio::spawn(async move {
+            // A lost cancellation costs the target some work and nothing else.
+            let _lost: Result<(), _> = peers
+                .call(address, CANCEL_PATH, &cancel, CANCEL_TIMEOUT)
+                .await;
+        });
+    }
+
+    fn fail(&self, leg: u32, reason: Reason) {
+        fail(&self.reply, leg, reason);
+    }
+}
+
+fn result(frame: Frame) -> Event {
+    Event::Result {
+        leg: frame.leg,
+        outcome: frame.outcome,
+        load: frame.load,
+    }
+}
+
+fn fail(reply: &mpsc::UnboundedSender<Frame>, leg: u32, reason: Reason) {
+    // The query may have ended already.
+    let _ended = reply.send(Frame {
+        leg,
+        outcome: Outcome::Failure(reason),
+        load: Load::default(),
+    });
+}
+
+/// Reads the results of a batch; each leg that the gateway gives no result for fails.
+async fn stream(
+    peers: &Peers,
+    gateway: &Member,
+    batch: &Batch,
+    timeout: Duration,
+    reply: &mpsc::UnboundedSender<Frame>,
+) {
+    let mut missing: Vec<u32> = batch.legs.iter().map(|leg| leg.number).collect();
+    let reason = match peers.scatter(gateway.peer, batch, timeout).await {
+        Ok(mut frames) => loop {
+            match frames.next().await {
+                Some(Ok(frame)) => {
+                    missing.retain(|leg| *leg != frame.leg);
+                    if reply.send(frame).is_err() {
+                        return;
+                    }
+                }
+                Some(Err(e)) => break reason(&e),
+                None => break Reason::ConnectionLost,
+            }
+        },
+        Err(e) => reason(&e),
+    };
+    for leg in missing {
+        fail(reply, leg, reason);
+    }
+}
+
+const fn reason(error: &peer::Error) -> Reason {
+    match error {
+        peer::Error::NotSent(_) => Reason::NotSent,
+        peer::Error::Lost(_) | peer::Error::Status(_) | peer::Error::Invalid(_) => {
+            Reason::ConnectionLost
+        }
+        peer::Error::Timeout => Reason::Timeout,
+    }
+}
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -2,10 +2,15 @@
 
 pub mod cell;
 pub mod config;
+pub mod control;
+pub mod coordinator;
 pub mod gate;
 pub mod gateway;
+pub mod ledger;
 pub mod log;
 pub mod metrics;
+pub mod node;
 pub mod owner;
 pub mod ramp;
 pub mod record;
+pub mod view;
--- /dev/null
+++ b/src/process/node.rs
@@ -0,0 +1,550 @@
+//! One node: what its callers, its peers and its operators reach.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, SystemTime};
+
+use anyhow::Context;
+use bytes::Bytes;
+use derive_more::Deref;
+use hyper::StatusCode;
+use rand::Rng;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::config::Config;
+use super::control::{self, Control, EXCHANGE_PATH, RECORDS_PATH, SETTINGS_PATH};
+use super::coordinator::{CANCEL_PATH, Cancel, Coordinator};
+use super::gateway::{Gateway, Offered};
+use super::ledger::{Begun, Ledger};
+use super::metrics::Metrics;
+use super::view::View;
+use crate::connection::peer::{self, Peers};
+use crate::connection::{admin, caller};
+use crate::request::answer::{Addresses, Refusal, conclude};
+use crate::request::ask::Ask;
+use crate::request::choice;
+use crate::request::hedge::{self, Hedge};
+use crate::request::id;
+use crate::request::once::{Settlement, digest};
+use crate::request::scatter::{Plan, Selection};
+use crate::time::{Clock, Moment};
+use crate::version::policy::{Query, Scatter};
+use crate::version::tree;
+use crate::wire::run::{Reply, Run};
+use crate::wire::{Batch, Frame, Incarnation, Member, Reason};
+
+/// The path of a non-idempotent request on its way to the node that issued its session.
+const RUN_PATH: &str = "/peer/run";
+/// How long callers may keep addresses.
+pub const KEEP: Duration = Duration::from_secs(2);
+/// Addresses in one answer; more would only be kept unused.
+const ADDRESSES_MAX: usize = 5;
+/// When a caller should try again after a refusal that another node may not share.
+const RETRY_AFTER: Duration = Duration::from_millis(50);
+
+/// The running node.
+#[derive(Debug)]
+pub struct Node {
+    shared: Arc<Shared>,
+    callers: caller::Server,
+    peers: peer::Server,
+    admin: admin::Server,
+}
+
+/// What all requests of a node share.
+#[derive(Debug)]
+struct Shared {
+    config: Config,
+    me: Member,
+    clock: Clock,
+    metrics: Metrics,
+    control: Control,
+    ledger: Ledger,
+    coordinator: Coordinator,
+    /// Whether the node refuses new work because it stops.
+    refusing: AtomicBool,
+    /// Whether the node is left out of address lists because it stops.
+    unlisted: AtomicBool,
+    /// Since when the settings have the node or its data centre out of service, in microseconds.
+    out_since: AtomicU64,
+    requests: AtomicU64,
+}
+
+/// The node is in service.
+const IN_SERVICE: u64 = u64::MAX;
+
+impl Node {
+    /// Binds the node's addresses and joins its cell.
+    pub async fn bind(mut config: Config) -> anyhow::Result<Self> {
+        let callers = listen("caller", config.caller).await?;
+        let peers = listen("peer", config.peer).await?;
+        let admin = listen("admin", config.admin).await?;
+        config.caller = callers.local_addr()?;
+        config.peer = peers.local_addr()?;
+        config.admin = admin.local_addr()?;
+        let shared = Arc::new(Shared::open(config).await?);
+        let entry = Arc::new(Entry(Arc::clone(&shared)));
+        Ok(Self {
+            callers: caller::Server::spawn(callers, Arc::clone(&entry))?,
+            peers: peer::serve(peers, Arc::clone(&entry))?,
+            admin: admin::Server::spawn(admin, entry)?,
+            shared,
+        })
+    }
+
+    /// Returns the address for callers.
+    pub fn caller(&self) -> SocketAddr {
+        self.callers.address()
+    }
+
+    /// Returns the address for other nodes.
+    pub fn peer(&self) -> SocketAddr {
+        self.peers.address()
+    }
+
+    /// Returns the address for operators.
+    pub fn admin(&self) -> SocketAddr {
+        self.admin.address()
+    }
+
+    /// Stops as planned: leaves the address lists, serves for as long as callers keep them, refuses
+    /// with other addresses, and finishes what it has.
+    pub async fn stop(self) {
+        log::info!("planned stop: leaving the address lists");
+        self.shared.unlisted.store(true, Ordering::Release);
+        self.shared.control.announce_stop();
+        tokio::time::sleep(KEEP + LIST_MARGIN).await;
+        log::info!("planned stop: refusing new work");
+        self.shared.refusing.store(true, Ordering::Release);
+        tokio::time::sleep(REFUSE).await;
+        self.callers.close().await;
+        log::info!("planned stop: all requests have ended");
+        self.shared.coordinator.gateway.close().await;
+        self.shared.control.leave();
+        tokio::time::sleep(RELEASE).await;
+        self.peers.close().await;
+    }
+}
+
+/// How long address lists that name this node may still be given out by nodes that have not heard.
+const LIST_MARGIN: Duration = Duration::from_secs(1);
+/// How long new work is refused with other addresses before connections are closed.
+const REFUSE: Duration = Duration::from_millis(500);
+/// How long the node still answers peers after it released its targets, so that they learn of it.
+const RELEASE: Duration = Duration::from_millis(1_500);
+
+async fn listen(name: &str, address: SocketAddr) -> anyhow::Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .with_context(|| format!("cannot listen on the {name} address {address}"))
+}
+
+impl Shared {
+    async fn open(config: Config) -> anyhow::Result<Self> {
+        let clock = Clock::start();
+        let metrics = Metrics::open();
+        let started = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH)?;
+        let me = Member {
+            name: config.name.clone(),
+            incarnation: Incarnation(u64::try_from(started.as_micros())?),
+            peer: config.peer,
+            caller: config.caller,
+        };
+        let key = rand::rng().random();
+        let ledger = Ledger::spawn(&me.name, me.incarnation, key, clock).await?;
+        let peers = Peers::new();
+        let gateway = Gateway::open(clock, metrics.clone());
+        let control = Control::spawn(control::Config {
+            me: me.clone(),
+            cell: config.cell.clone(),
+            data_centre: config.data_centre.clone(),
+            store: config.store.clone(),
+            members: config.members,
+            clock,
+            metrics: metrics.clone(),
+            peers: peers.clone(),
+            gateway: gateway.clone(),
+        })
+        .await?;
+        let coordinator = Coordinator {
+            name: me.name.clone(),
+            clock,
+            metrics: metrics.clone(),
+            peers,
+            gateway,
+            hedge: Arc::new(Mutex::new(Hedge::open(hedge::Policy::Adaptive))),
+        };
+        Ok(Self {
+            config,
+            me,
+            clock,
+            metrics,
+            control,
+            ledger,
+            coordinator,
+            refusing: AtomicBool::new(false),
+            unlisted: AtomicBool::new(false),
+            out_since: AtomicU64::new(IN_SERVICE),
+            requests: AtomicU64::new(0),
+        })
+    }
+
+    /// Returns the addresses that callers may use, in an order that spreads load.
+    fn listed(&self, view: &View) -> Vec<SocketAddr> {
+        let unlisted = self.unlisted.load(Ordering::Acquire);
+        let (local, remote): (Vec<_>, Vec<_>) = view
+            .nodes
+            .values()
+            .filter(|node| node.usable && !(unlisted && node.member.name == self.me.name))
+            .partition(|node| node.data_centre == self.config.data_centre);
+        let turn = self.requests.fetch_add(1, Ordering::Relaxed) as usize;
+        let rotate = |nodes: Vec<&super::view::Node>| {
+            let count = nodes.len().max(1);
+            let addresses: Vec<_> = nodes.iter().map(|node| node.member.caller).collect();
+            let split = turn % count;
+            [
+                &addresses[split.min(addresses.len())..],
+                &addresses[..split.min(addresses.len())],
+            ]
+            .concat()
+        };
+        let mut addresses = rotate(local);
+        addresses.extend(rotate(remote));
+        addresses.truncate(ADDRESSES_MAX);
+        addresses
+    }
+
+    /// Refuses while the node may not take new work.
+    fn admit(&self, view: &View, now: Moment) -> Result<(), Refusal> {
+        if self.refusing.load(Ordering::Acquire) {
+            return Err(self.elsewhere(Reason::Stopping, "this node is stopping", view));
+        }
+        if self.is_out(view, now) {
+            let text = "this node's data centre is out of service";
+            return Err(self.elsewhere(Reason::OutOfService, text, view));
+        }
+        if !self.control.has_permit(now) {
+            let text = "this node cannot prove that its settings are current";
+            return Err(self.elsewhere(Reason::NoPermit, text, view));
+        }
+        Ok(())
+    }
+
+    /// Tells whether callers have had time to learn that the node is out of service.
+    fn is_out(&self, view: &View, now: Moment) -> bool {
+        let centre = view.tree.data_centre_state(&self.config.data_centre);
+        let instance = view.tree.instance_state(&self.me.name);
+        if centre != Some(tree::State::Out) && instance != tree::State::Out {
+            self.out_since.store(IN_SERVICE, Ordering::Release);
+            return false;
+        }
+        let since = self.out_since.fetch_min(now.as_micros(), Ordering::AcqRel);
+        now.since(Moment::from_micros(since.min(now.as_micros()))) >= KEEP
+    }
+
+    fn elsewhere(&self, reason: Reason, text: &str, view: &View) -> Refusal {
+        let mut refusal = Refusal::new(reason, text);
+        refusal.retry_after = Some(RETRY_AFTER);
+        refusal.addresses = self.listed(view);
+        refusal
+    }
+
+    fn policy(&self, ask: &Ask, view: &View) -> Result<Query, Refusal> {
+        if let Some(query) = view
+            .tree
+            .query(&ask.index, &ask.kind, &self.config.data_centre)
+        {
+            return Ok(query);
+        }
+        if view.tree.has_index(&ask.index) {
+            let text = format!("the index {} has no query kind {}", ask.index, ask.kind);
+            return Err(Refusal::new(Reason::UnknownKind, text));
+        }
+        let text = format!("there is no index {}", ask.index);
+        Err(Refusal::new(Reason::UnknownIndex, text))
+    }
+
+    fn plan(
+        &self,
+        ask: &Ask,
+        policy: Query,
+        request: String,
+        now: Moment,
+    ) -> Result<Plan, Refusal> {
+        let selection = match (policy.scatter, &ask.routing_key) {
+            (Scatter::All, _) => Selection::All,
+            (Scatter::One, Some(key)) => Selection::One(xxh3_64(key.as_bytes())),
+            (Scatter::One, None) => {
+                let text = "this query kind needs a Routing-Key header";
+                return Err(Refusal::new(Reason::BadRequest, text));
+            }
+        };
+        Ok(Plan {
+            request,
+            index: ask.index.clone(),
+            data_centre: self.config.data_centre.clone(),
+            selection,
+            policy,
+            choice: choice::Policy::default(),
+            deadline: now + ask.deadline.unwrap_or(policy.deadline),
+        })
+    }
+
+    async fn answer(self: &Arc<Self>, ask: Ask) -> Result<Reply, Refusal> {
+        let view = Arc::clone(&self.control.view());
+        let now = self.clock.now();
+        let policy = self.policy(&ask, &view);
+        if let Ok(policy) = &policy
+            && !policy.idempotent
+        {
+            return self.answer_once(ask, *policy, &view).await;
+        }
+        self.admit(&view, now)?;
+        let number = self.requests.fetch_add(1, Ordering::Relaxed);
+        let request = format!("{}.{}.q{number:x}", self.me.name, self.me.incarnation);
+        let plan = self.plan(&ask, policy?, request, now)?;
+        let verdict = self.coordinator.run(plan, ask.body, &view).await;
+        conclude(verdict).map(|answer| answer.reply())
+    }
+
+    /// Runs a non-idempotent request here if this incarnation issued its id, else passes it on.
+    async fn answer_once(
+        self: &Arc<Self>,
+        ask: Ask,
+        policy: Query,
+        view: &View,
+    ) -> Result<Reply, Refusal> {
+        let Some(text) = &ask.request else {
+            let text = "this query kind is not idempotent and needs a Request-Id header";
+            return Err(Refusal::new(Reason::BadRequestId, text));
+        };
+        let bad = |e: id::Error| Refusal::new(Reason::BadRequestId, e.to_string());
+        let request: id::Request = text.parse().map_err(bad)?;
+        match self.ledger.verify(&request) {
+            Ok(()) => {}
+            Err(id::Error::Foreign(node, incarnation)) => {
+                let run = run(ask, &policy);
+                return self.forward(&node, incarnation, run, view).await;
+            }
+            Err(e) => return Err(bad(e)),
+        }
+        let digest = digest(&ask.index, &ask.kind, ask.routing_key.as_deref(), &ask.body);
+        match self.ledger.begin(request.clone(), digest).await {
+            Begun::Answer(reply) => Ok(reply),
+            Begun::Refuse(reason) => Err(Refusal::new(reason, "see the reason")),
+            Begun::Start => {
+                // The request must be settled even if its caller goes away meanwhile.
+                let shared = Arc::clone(self);
+                let task =
+                    tokio::spawn(async move { shared.start_once(request, ask, policy).await });
+                task.await.unwrap_or_else(|_| {
+                    Err(Refusal::new(
+                        Reason::OutcomeUnknown,
+                        "the request was interrupted",
+                    ))
+                })
+            }
+        }
+    }
+
+    async fn start_once(
+        self: Arc<Self>,
+        request: id::Request,
+        ask: Ask,
+        policy: Query,
+    ) -> Result<Reply, Refusal> {
+        let result = self.run_once(&request, ask, policy).await;
+        let settlement = match &result {
+            Ok(reply) => Settlement::Answered(reply.clone()),
+            Err(refusal) if refusal.not_run => Settlement::NotRun(refusal.reason),
+            Err(_) => Settlement::Unknown,
+        };
+        self.ledger.settle(request, settlement);
+        result
+    }
+
+    async fn run_once(
+        &self,
+        request: &id::Request,
+        ask: Ask,
+        policy: Query,
+    ) -> Result<Reply, Refusal> {
+        let view = Arc::clone(&self.control.view());
+        let now = self.clock.now();
+        self.admit(&view, now)?;
+        let plan = self.plan(&ask, policy, request.to_string(), now)?;
+        let verdict = self.coordinator.run(plan, ask.body, &view).await;
+        conclude(verdict).map(|answer| answer.reply())
+    }
+
+    async fn forward(
+        &self,
+        node: &str,
+        incarnation: Incarnation,
+        run: Run,
+        view: &View,
+    ) -> Result<Reply, Refusal> {
+        let unknown = |text| Err(Refusal::new(Reason::OutcomeUnknown, text));
+        let Some(member) = view.node(node, incarnation) else {
+            return unknown(
+                "the node that issued this request id is gone; the request may have run",
+            );
+        };
+        let timeout = Duration::from_micros(run.remaining_us) + FORWARD_MARGIN;
+        match self
+            .coordinator
+            .peers
+            .call(member.peer, RUN_PATH, &run, timeout)
+            .await
+        {
+            Ok(reply) => Ok(reply),
+            Err(_) => unknown(
+                "the node that issued this request id did not answer; the request may have run",
+            ),
+        }
+    }
+
+    /// Answers a request that a peer passed on.
+    async fn run(self: &Arc<Self>, run: Run) -> Reply {
+        let deadline = Duration::from_micros(run.remaining_us);
+        let ask = Ask {
+            index: run.index,
+            kind: run.kind,
+            deadline: Some(deadline),
+            request: Some(run.request),
+            routing_key: run.routing_key,
+            body: run.body,
+        };
+        let view = Arc::clone(&self.control.view());
+        let result = match self.policy(&ask, &view) {
+            Ok(policy) => self.answer_once(ask, policy, &view).await,
+            // The settings that made the request non-idempotent may be newer than this node's.
+            Err(refusal) => Err(refusal),
+        };
+        result.unwrap_or_else(|refusal| self.count(&refusal))
+    }
+
+    fn count(&self, refusal: &Refusal) -> Reply {
+        self.metrics.refuse(refusal.reason);
+        refusal.reply()
+    }
+}
+
+/// How much longer than the deadline a node waits for the one that it passed a request to.
+const FORWARD_MARGIN: Duration = Duration::from_millis(200);
+
+fn run(ask: Ask, policy: &Query) -> Run {
+    let deadline = ask.deadline.unwrap_or(policy.deadline);
+    Run {
+        request: ask.request.unwrap_or_default(),
+        index: ask.index,
+        kind: ask.kind,
+        routing_key: ask.routing_key,
+        remaining_us: u64::try_from(deadline.as_micros()).unwrap_or(u64::MAX),
+        body: ask.body,
+    }
+}
+
+/// What the node's servers hand their requests to.
+#[derive(Debug, Deref)]
+struct Entry(Arc<Shared>);
+
+impl caller::Handler for Entry {
+    fn addresses(&self) -> Reply {
+        let mut addresses = self.listed(&self.control.view());
+        if addresses.is_empty() {
+            // A node that knows no usable node, for example because every data centre is out, still
+            // names itself, so that callers get a refusal with a reason.
+            addresses.push(self.me.caller);
+        }
+        let session = self.ledger.session();
+        Addresses {
+            addresses,
+            keep: KEEP,
+            session,
+        }
+        .reply()
+    }
+
+    async fn query(&self, ask: Ask) -> Reply {
+        self.metrics.requests.inc();
+        let start = self.clock.now();
+        match self.answer(ask).await {
+            Ok(reply) => {
+                self.metrics.answers.inc();
+                let elapsed = self.clock.now().since(start);
+                self.metrics.latency.observe(elapsed.as_secs_f64());
+                reply
+            }
+            Err(refusal) => self.count(&refusal),
+        }
+    }
+
+    fn refuse(&self, refusal: Refusal) -> Reply {
+        self.metrics.requests.inc();
+        self.count(&refusal)
+    }
+
+    fn closing(&self) -> bool {
+        self.refusing.load(Ordering::Acquire)
+    }
+}
+
+impl admin::Handler for Entry {
+    fn metrics(&self) -> String {
+        self.metrics.render()
+    }
+
+    async fn status(&self) -> String {
+        let status = self.control.status().await;
+        serde_json::to_string(&status).expect("a status always encodes")
+    }
+}
+
+impl peer::Service for Entry {
+    type Running = Offered;
+
+    async fn call(&self, path: &str, body: Bytes) -> Result<Bytes, StatusCode> {
+        self.metrics.control_bytes.inc_by(body.len() as u64);
+        match path {
+            EXCHANGE_PATH => encode(self.control.exchange(decode(&body)?).await.as_ref()),
+            RECORDS_PATH => encode(self.control.records(decode(&body)?).await.as_ref()),
+            SETTINGS_PATH => encode(self.control.deltas(decode(&body)?).await.as_ref()),
+            RUN_PATH => encode(Some(&self.run(decode(&body)?).await)),
+            CANCEL_PATH => {
+                let cancel: Cancel = decode(&body)?;
+                let gateway = &self.coordinator.gateway;
+                gateway.cancel(&cancel.target, &cancel.request, cancel.leg);
+                encode(Some(&()))
+            }
+            _ => Err(StatusCode::NOT_FOUND),
+        }
+    }
+
+    fn scatter(&self, batch: Batch, reply: mpsc::UnboundedSender<Frame>) -> Offered {
+        self.coordinator.gateway.offer(batch, &reply)
+    }
+}
+
+fn decode<T>(body: &[u8]) -> Result<T, StatusCode>
+where
+    T: DeserializeOwned,
+{
+    rmp_serde::from_slice(body).map_err(|_invalid| StatusCode::BAD_REQUEST)
+}
+
+fn encode<T>(answer: Option<&T>) -> Result<Bytes, StatusCode>
+where
+    T: Serialize,
+{
+    let Some(answer) = answer else {
+        return Err(StatusCode::SERVICE_UNAVAILABLE);
+    };
+    let bytes = rmp_serde::to_vec(answer).expect("messages hold only types that can be encoded");
+    Ok(bytes.into())
+}
--- /dev/null
+++ b/src/process/view.rs
@@ -0,0 +1,233 @@
+//! What a node knows at one moment, built from the settings, the membership list, the cell records
+//! and the summaries of gateways.
+//!
+//! A view is never changed; the control actor replaces it. A request works on one view.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::Arc;
+
+use super::gateway::Owned;
+use super::owner;
+use crate::connection::members::{Instance, List, Role, State};
+use crate::process::cell::{Basis, GRACE};
+use crate::time::Moment;
+use crate::version::directory::{Directory, Target};
+use crate::version::tree::{self, Tree};
+use crate::wire::exchange::{Record, Summary};
+use crate::wire::{Load, Member};
+
+/// A summary and the node that gave it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Reported {
+    /// The gateway that reported.
+    pub by: Member,
+    /// What it reported.
+    pub summary: Summary,
+}
+
+/// Everything that a view is built from.
+#[derive(Debug)]
+pub struct Sources<'a> {
+    /// The version of the settings.
+    pub settings: u64,
+    /// The settings.
+    pub tree: &'a Arc<Tree>,
+    /// The membership list.
+    pub list: &'a List,
+    /// The records of all cells.
+    pub records: &'a BTreeMap<String, Record>,
+    /// The newest summary of each target.
+    pub summaries: &'a HashMap<String, Reported>,
+    /// Nodes that are stopping or do not answer.
+    pub unavailable: &'a HashSet<&'a str>,
+}
+
+/// What a node knows at one moment.
+#[derive(Debug, Default)]
+pub struct View {
+    /// The version of the settings.
+    pub settings: u64,
+    /// The settings.
+    pub tree: Arc<Tree>,
+    /// The targets.
+    pub directory: Directory,
+    /// All members of all cells by name, each with its cell's data centre, in service or not.
+    pub nodes: BTreeMap<String, Node>,
+}
+
+/// Another node, or this one, as a view shows it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Node {
+    /// The node.
+    pub member: Member,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Whether callers may be sent to it.
+    pub usable: bool,
+}
+
+impl View {
+    /// Builds a view.
+    pub fn build(sources: &Sources<'_>) -> Self {
+        let targets = sources
+            .list
+            .instances
+            .values()
+            .filter(|instance| instance.role == Role::Target)
+            .map(|instance| target(instance, sources))
+            .collect();
+        Self {
+            settings: sources.settings,
+            tree: Arc::clone(sources.tree),
+            directory: Directory::build(targets),
+            nodes: nodes(sources),
+        }
+    }
+
+    /// Finds the node that runs as this incarnation.
+    pub fn node(&self, name: &str, incarnation: crate::wire::Incarnation) -> Option<&Member> {
+        let node = self.nodes.get(name)?;
+        (node.member.incarnation == incarnation).then_some(&node.member)
+    }
+}
+
+fn nodes(sources: &Sources<'_>) -> BTreeMap<String, Node> {
+    let mut nodes = BTreeMap::new();
+    for name in sources.tree.data_centres() {
+        let in_service = sources.tree.data_centre_state(name) == Some(tree::State::In);
+        for cell in sources.tree.cells(name) {
+            let Some(record) = sources.records.get(cell) else {
+                continue;
+            };
+            for member in &record.members {
+                let usable = in_service
+                    && sources.tree.instance_state(&member.name) == tree::State::In
+                    && !leaving(&member.name, sources.list)
+                    && !sources.unavailable.contains(member.name.as_str());
+                let node = Node {
+                    member: member.clone(),
+                    data_centre: name.to_owned(),
+                    usable,
+                };
+                nodes.insert(member.name.clone(), node);
+            }
+        }
+    }
+    nodes
+}
+
+fn leaving(name: &str, list: &List) -> bool {
+    list.instances
+        .get(name)
+        .is_some_and(|instance| instance.state == State::Leaving)
+}
+
+fn cell_of<'t>(instance: &Instance, tree: &'t Tree) -> Option<&'t str> {
+    let key = owner::Target {
+        index: &instance.index,
+        service: &instance.service,
+        replica: instance.replica,
+    };
+    let cells = tree.cells(&instance.data_centre);
+    owner::cell_of(key, cells.iter().map(String::as_str))
+}
+
+fn in_service(instance: &Instance, tree: &Tree) -> bool {
+    instance.state == State::Live
+        && tree.data_centre_state(&instance.data_centre) == Some(tree::State::In)
+        && tree.instance_state(&instance.name) == tree::State::In
+}
+
+fn target(instance: &Instance, sources: &Sources<'_>) -> Target {
+    let members = cell_of(instance, sources.tree)
+        .and_then(|cell| sources.records.get(cell))
+        .map_or(&[][..], |record| &record.members);
+    let gateway = owner::owner(
+        &instance.index,
+        &instance.service,
+        instance.replica,
+        members,
+    );
+    let reported = sources.summaries.get(&instance.name);
+    // What another node reported before it lost the target tells what the target holds, but only its
+    // present gateway can tell that it takes work.
+    let usable = in_service(instance, sources.tree)
+        && gateway.is_some_and(|gateway| {
+            reported.is_some_and(|reported| reported.by == *gateway && reported.summary.usable)
+                && !sources.unavailable.contains(gateway.name.as_str())
+        });
+    Target {
+        name: instance.name.as_str().into(),
+        address: instance.address,
+        data_centre: instance.data_centre.as_str().into(),
+        index: instance.index.as_str().into(),
+        service: instance.service.as_str().into(),
+        replica: instance.replica,
+        gateway: gateway.cloned(),
+        usable,
+        holdings: reported.map_or_else(Vec::new, |it| it.summary.holdings.clone()),
+        load: reported.map_or_else(Load::default, |it| it.summary.load),
+    }
+}
+
+/// Remembers since when the settings assign each target to the node's cell.
+///
+/// A node of another cell that has not seen the newest settings may use a target until its permit
+/// ends, so a target that changes its cell is used only after `GRACE`.
+#[derive(Debug, Default)]
+pub struct Assignment {
+    since: HashMap<String, Moment>,
+}
+
+impl Assignment {
+    /// Returns the targets that the node owns, with the moment from which each may be used.
+    pub fn owned(
+        &mut self,
+        list: &List,
+        tree: &Tree,
+        place: (&str, &str),
+        basis: &Basis,
+        now: Moment,
+    ) -> Vec<Owned> {
+        let (data_centre, cell) = place;
+        let mine: Vec<&Instance> = list
+            .instances
+            .values()
+            .filter(|it| it.role == Role::Target && it.data_centre == data_centre)
+            .filter(|it| cell_of(it, tree) == Some(cell))
+            .collect();
+        let before = std::mem::take(&mut self.since);
+        self.since = mine
+            .iter()
+            .map(|it| {
+                (
+                    it.name.clone(),
+                    before.get(&it.name).copied().unwrap_or(now),
+                )
+            })
+            .collect();
+        mine.into_iter()
+            .filter_map(|instance| self.own(instance, tree, basis))
+            .collect()
+    }
+
+    fn own(&self, instance: &Instance, tree: &Tree, basis: &Basis) -> Option<Owned> {
+        let policy = tree.target(&instance.index, &instance.service, &instance.data_centre)?;
+        let from = basis.usable_from(|members| {
+            owner::owner(
+                &instance.index,
+                &instance.service,
+                instance.replica,
+                members,
+            )
+        })?;
+        let assigned = self.since.get(&instance.name)?;
+        Some(Owned {
+            name: instance.name.clone(),
+            address: instance.address,
+            policy,
+            valid_from: from.max(*assigned + GRACE),
+            in_service: in_service(instance, tree),
+        })
+    }
+}
--- a/src/request/answer.rs
+++ b/src/request/answer.rs
@@ -7,6 +7,8 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as, skip_serializing_none};
 
+use super::merge::Hit;
+use super::scatter::{self, Verdict};
 use crate::wire::run::Reply;
 use crate::wire::{Reason, Version};
 
@@ -19,15 +21,6 @@
     pub total: u32,
 }
 
-/// One hit of an answer.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Hit {
-    /// The document.
-    pub id: String,
-    /// Its score; higher is better.
-    pub score: f64,
-}
-
 /// Extra legs that an answer took, by cause.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Extra {
@@ -115,6 +108,59 @@
     }
 }
 
+/// Turns the end of a query into the reply to its caller.
+pub fn conclude(verdict: Verdict) -> Result<Answer, Refusal> {
+    match verdict {
+        Verdict::Answer {
+            version,
+            answered,
+            total,
+            hits,
+            attempts,
+            extra,
+        } => Ok(Answer {
+            snapshot: version,
+            coverage: Coverage { answered, total },
+            complete: answered == total,
+            hits,
+            attempts,
+            extra: extra.into(),
+        }),
+        Verdict::Refusal {
+            reason,
+            not_run,
+            answered,
+            total,
+        } => {
+            let mut refusal = Refusal::new(reason, explanation(reason));
+            refusal.not_run = not_run;
+            refusal.coverage = (total > 0).then_some(Coverage { answered, total });
+            Err(refusal)
+        }
+    }
+}
+
+const fn explanation(reason: Reason) -> &'static str {
+    match reason {
+        Reason::LowCoverage => "too few shards answered before the deadline",
+        Reason::OutcomeUnknown => "the request may have run, and its answer was lost",
+        Reason::NoTarget => "no target can be asked for the shards of this index",
+        Reason::Expired | Reason::Timeout => "the deadline passed",
+        Reason::QueueFull | Reason::Shed => "the targets have no capacity left",
+        _ => "the query could not be run",
+    }
+}
+
+impl From<scatter::Extra> for Extra {
+    fn from(extra: scatter::Extra) -> Self {
+        Self {
+            hedge: extra.hedges,
+            retry: extra.retries,
+            restart: extra.restarts,
+        }
+    }
+}
+
 impl Answer {
     /// Encodes the answer.
     pub fn reply(&self) -> Reply {
