Add the store and membership stand-ins

The product's tests need an etcd-like store and a membership list that lag and fail on command. Both close connections while they are down but keep their /admin/ paths, so that a test can bring them back.

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -2,3 +2,7 @@
 //!
 //! They speak the same protocols as the real systems and keep a journal of what reached them, from
 //! which tests draw their verdicts. They depend on nothing of the product.
+
+pub mod http;
+pub mod members;
+pub mod store;
