--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod http;
 pub mod members;
 pub mod store;
+pub mod target;
--- /dev/null
+++ b/standins/src/target/admin.rs
@@ -0,0 +1,257 @@
+//! The admin interface of a process: commands, journal and verdict.
+
+use std::sync::Arc;
+
+use anyhow::{Context, bail, ensure};
+use hyper::body::Incoming;
+use hyper::{Method, Request, StatusCode};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use tokio::time::Instant;
+
+use super::instance::Faults;
+use super::journal::Entry;
+use super::spec::{Holding, check_holdings};
+use super::verdict::{Verdict, judge};
+use super::{Place, Process, Summary};
+use crate::http::{self, Reply};
+
+/// How many journal entries one page holds.
+const PAGE: usize = 100_000;
+
+/// A change to one target, or to all targets of a data centre; absent fields change nothing.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Command {
+    /// The target; exactly one of `name` and `data_centre` must be given.
+    pub name: Option<String>,
+    /// The data centre whose targets all get the command.
+    pub data_centre: Option<String>,
+    /// Ends all faults before the other fields take effect; versions and generation stay.
+    pub restore: bool,
+    /// Starts a new generation, which is cold; connections are cut and running work is lost.
+    pub restart: bool,
+    /// Turns the target cold without a new generation.
+    pub cold: bool,
+    /// Replaces the parts of the index that the target holds.
+    pub versions: Option<Vec<Holding>>,
+    /// Answers new requests with 503 and is listed as leaving; accepted requests run on.
+    pub drain: Option<bool>,
+    /// Is listed as leaving, but serves on.
+    pub leave: Option<bool>,
+    /// Accepts requests and never answers; at its end the waiting connections are cut.
+    pub hang: Option<bool>,
+    /// Refuses connections and cuts those that exist; running work goes on.
+    pub down: Option<bool>,
+    /// Shows `warm` and no load in `GET /status`, whatever is true.
+    pub misleading_status: Option<bool>,
+    /// Makes requests that start take this many times as long.
+    pub slow_factor: Option<f64>,
+    /// How many of the next answers are lost: the work runs, then the connection is closed.
+    pub lose_answers: Option<u64>,
+    /// How many pairs of concurrent requests get each other's answers.
+    pub cross_answers: Option<u64>,
+}
+
+impl Command {
+    /// Returns a command for a target that changes nothing yet.
+    pub fn target(name: &str) -> Self {
+        Self {
+            name: Some(name.to_owned()),
+            ..Self::default()
+        }
+    }
+}
+
+/// An answer of `GET /admin/journal?from=N`.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Page {
+    /// The wall-clock time at which the process started.
+    pub started_unix_ms: u64,
+    /// How many entries the journal holds.
+    pub total: usize,
+    /// The number at which the next page begins, if there is one.
+    pub next: Option<usize>,
+    /// The entries in the order of arrival.
+    pub entries: Vec<Entry>,
+}
+
+impl Process {
+    pub(super) async fn command(&self, command: Command) -> anyhow::Result<()> {
+        if let Some(factor) = command.slow_factor {
+            ensure!(
+                factor.is_finite() && factor > 0.0,
+                "slow_factor must be positive"
+            );
+        }
+        if let Some(versions) = &command.versions {
+            check_holdings("versions", versions)?;
+        }
+        for place in self.select(&command)? {
+            place.apply(&command).await;
+            if let Some(register) = &self.register {
+                register.push(place.listed());
+            }
+        }
+        Ok(())
+    }
+
+    fn select(&self, command: &Command) -> anyhow::Result<Vec<&Place>> {
+        match (&command.name, &command.data_centre) {
+            (Some(name), None) => {
+                let number = self.names.get(name);
+                let number = number.with_context(|| format!("no target is called {name}"))?;
+                Ok(vec![&self.places[*number]])
+            }
+            (None, Some(data_centre)) => {
+                let places = self.places.iter();
+                let selected: Vec<_> = places
+                    .filter(|place| place.instance.spec.data_centre == *data_centre)
+                    .collect();
+                ensure!(!selected.is_empty(), "no target is in {data_centre}");
+                Ok(selected)
+            }
+            _ => bail!("give either a name or a data_centre"),
+        }
+    }
+
+    pub(super) fn summaries(&self) -> Vec<Summary> {
+        self.places.iter().map(Place::summary).collect()
+    }
+
+    pub(super) fn page(&self, from: usize) -> Page {
+        let entries = self.journal.entries();
+        let from = from.min(entries.len());
+        let end = entries.len().min(from + PAGE);
+        Page {
+            started_unix_ms: self.journal.started_unix_ms,
+            total: entries.len(),
+            next: (end < entries.len()).then_some(end),
+            entries: entries[from..end].to_vec(),
+        }
+    }
+
+    pub(super) fn verdict(&self) -> anyhow::Result<Verdict> {
+        ensure!(
+            !self.journal.is_full(),
+            "the journal is full, so no verdict is possible"
+        );
+        let mut verdict = {
+            let entries = self.journal.entries();
+            let specs = self.places.iter().map(|place| &place.instance.spec);
+            judge(&entries, specs)
+        };
+        verdict.started_unix_ms = self.journal.started_unix_ms;
+        for place in &self.places {
+            let state = place.instance.state();
+            verdict.connection_overruns += state.connection_overruns;
+            verdict.malformed += state.malformed;
+        }
+        Ok(verdict)
+    }
+}
+
+impl Place {
+    fn summary(&self) -> Summary {
+        let spec = &self.instance.spec;
+        let state = self.instance.state();
+        Summary {
+            name: spec.name.clone(),
+            address: self.address,
+            data_centre: spec.data_centre.clone(),
+            index: spec.index.clone(),
+            service: spec.service.clone(),
+            replica: spec.replica,
+            generation: state.run.generation,
+            cold: state.is_cold(spec),
+            versions: state.versions.clone(),
+        }
+    }
+
+    async fn apply(&self, command: &Command) {
+        let instance = &self.instance;
+        if command.restart {
+            instance.restart();
+        }
+        let open = {
+            let mut state = instance.state();
+            let before = state.faults;
+            if command.restore {
+                state.faults = Faults::default();
+            }
+            if command.cold {
+                state.turn_cold();
+            }
+            if let Some(versions) = &command.versions {
+                state.versions.clone_from(versions);
+            }
+            let faults = &mut state.faults;
+            set(&mut faults.drain, command.drain);
+            set(&mut faults.leave, command.leave);
+            set(&mut faults.hang, command.hang);
+            set(&mut faults.down, command.down);
+            set(&mut faults.misleading_status, command.misleading_status);
+            set(&mut faults.slow_factor, command.slow_factor);
+            set(&mut faults.lose_answers, command.lose_answers);
+            set(&mut faults.cross_answers, command.cross_answers);
+            let faults = *faults;
+            if !(faults.drain || faults.leave) {
+                state.leaving_ms = None;
+            } else if state.leaving_ms.is_none() {
+                state.leaving_ms = Some(instance.journal.ms(Instant::now()));
+            }
+            if (faults.down && !before.down) || (before.hang && !faults.hang) {
+                instance.cut_connections(&mut state);
+            }
+            !faults.down
+        };
+        instance.open.send_replace(open);
+        // The command is complete once the port is open or closed; an error means a process that ends.
+        let mut listening = self.listening.clone();
+        let _ = listening.wait_for(|listening| *listening == open).await;
+    }
+}
+
+fn set<T: Copy>(field: &mut T, value: Option<T>) {
+    if let Some(value) = value {
+        *field = value;
+    }
+}
+
+impl http::Handle for Process {
+    async fn call(self: Arc<Self>, request: Request<Incoming>) -> Reply {
+        let path = request.uri().path().to_owned();
+        let answer = match (request.method(), path.as_str()) {
+            (&Method::POST, "/admin/target") => {
+                match http::read_json::<Command>(request.into_body()).await {
+                    Ok(command) => match self.command(command).await {
+                        Ok(()) => http::json_response(StatusCode::OK, &json!({})),
+                        Err(error) => http::error_response(
+                            StatusCode::UNPROCESSABLE_ENTITY,
+                            &format!("{error:#}"),
+                        ),
+                    },
+                    Err(refusal) => refusal,
+                }
+            }
+            (&Method::GET, "/admin/targets") => {
+                http::json_response(StatusCode::OK, &self.summaries())
+            }
+            (&Method::GET, "/admin/journal") => {
+                let query = request.uri().query().unwrap_or("from=0");
+                match query.strip_prefix("from=").map(str::parse) {
+                    Some(Ok(from)) => http::json_response(StatusCode::OK, &self.page(from)),
+                    _ => http::error_response(StatusCode::BAD_REQUEST, "the query is from=NUMBER"),
+                }
+            }
+            (&Method::GET, "/admin/verdict") => match self.verdict() {
+                Ok(verdict) => http::json_response(StatusCode::OK, &verdict),
+                Err(error) => {
+                    http::error_response(StatusCode::INSUFFICIENT_STORAGE, &format!("{error:#}"))
+                }
+            },
+            _ => http::not_found(),
+        };
+        Ok(answer)
+    }
+}
--- /dev/null
+++ b/standins/src/target/answer.rs
@@ -0,0 +1,46 @@
+//! The answers that targets give, which a checker can compute by itself.
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// How many hits each shard has for any query.
+pub const HITS: usize = 8;
+
+/// One result of a search.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Hit {
+    /// The name of the result; it names the version and the shard that it comes from.
+    pub id: String,
+    /// The rank value; higher comes first.
+    pub score: f64,
+}
+
+/// The body of an answer.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Answer {
+    /// The results, highest score first.
+    pub hits: Vec<Hit>,
+}
+
+/// Returns the right answer of a shard at a version.
+///
+/// Every replica gives it. Ids and scores both depend on the version, so that an answer that mixes
+/// versions differs from every right answer.
+pub fn expected(version: u64, shard: u32, body: &[u8]) -> Vec<Hit> {
+    let query = xxh3_64_with_seed(body, version);
+    let mut hits: Vec<Hit> = (0..HITS as u64)
+        .map(|number| {
+            let hash = xxh3_64_with_seed(
+                &number.to_le_bytes(),
+                query ^ u64::from(shard).wrapping_mul(0x9e37_79b9_7f4a_7c15),
+            );
+            Hit {
+                id: format!("v{version}-s{shard}-{:08x}", hash >> 32),
+                // A multiple of 1/1024 below 16,384 survives any JSON number parser unchanged.
+                score: (hash & 0xff_ffff) as f64 / 1024.0,
+            }
+        })
+        .collect();
+    hits.sort_by(|a, b| b.score.total_cmp(&a.score).then_with(|| a.id.cmp(&b.id)));
+    hits
+}
--- /dev/null
+++ b/standins/src/target/request.rs
@@ -0,0 +1,134 @@
+//! The requests and answers of the targets' interface.
+
+use std::str::FromStr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::{Response, StatusCode};
+use serde_json::json;
+
+use super::answer;
+use crate::http::{self, Body};
+
+const REQUEST_ID: HeaderName = HeaderName::from_static("request-id");
+const ATTEMPT: HeaderName = HeaderName::from_static("attempt");
+const INDEX_VERSION: HeaderName = HeaderName::from_static("index-version");
+const SHARD: HeaderName = HeaderName::from_static("shard");
+const DEADLINE_MS: HeaderName = HeaderName::from_static("deadline-ms");
+const IDEMPOTENT: HeaderName = HeaderName::from_static("idempotent");
+const GENERATION: HeaderName = HeaderName::from_static("generation");
+const RETRY_AFTER_MS: HeaderName = HeaderName::from_static("retry-after-ms");
+
+/// The longest time to a deadline that is kept; longer ones count as this.
+const LONGEST: Duration = Duration::from_hours(1);
+
+/// The headers of `POST /search`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Search {
+    pub request: String,
+    pub attempt: u32,
+    pub version: u64,
+    pub shard: u32,
+    /// The time left when the request arrived.
+    pub deadline: Duration,
+    pub idempotent: bool,
+}
+
+/// An answer with status 200.
+#[derive(Debug, Clone)]
+pub(super) struct Answer {
+    /// The number of its journal entry.
+    pub entry: usize,
+    pub request: String,
+    pub attempt: u32,
+    pub version: u64,
+    pub shard: u32,
+    pub generation: u64,
+    pub body: Bytes,
+}
+
+impl Search {
+    pub(super) fn parse(headers: &HeaderMap) -> Result<Self, String> {
+        let (request, attempt) = identity(headers)?;
+        Ok(Self {
+            request,
+            attempt,
+            version: header(headers, &INDEX_VERSION)?,
+            shard: header(headers, &SHARD)?,
+            deadline: Duration::from_millis(header(headers, &DEADLINE_MS)?).min(LONGEST),
+            idempotent: match headers.get(&IDEMPOTENT) {
+                None => true,
+                Some(_) => header(headers, &IDEMPOTENT)?,
+            },
+        })
+    }
+}
+
+/// Reads the two headers that identify a request.
+pub(super) fn identity(headers: &HeaderMap) -> Result<(String, u32), String> {
+    Ok((header(headers, &REQUEST_ID)?, header(headers, &ATTEMPT)?))
+}
+
+fn header<T: FromStr>(headers: &HeaderMap, name: &HeaderName) -> Result<T, String> {
+    let value = headers
+        .get(name)
+        .ok_or_else(|| format!("the header {name} is missing"))?;
+    let text = value.to_str().ok();
+    text.and_then(|text| text.parse().ok())
+        .ok_or_else(|| format!("the header {name} has the value {value:?}"))
+}
+
+impl Answer {
+    pub(super) fn new(entry: usize, search: &Search, generation: u64, query: &[u8]) -> Self {
+        let hits = answer::expected(search.version, search.shard, query);
+        let body = serde_json::to_vec(&answer::Answer { hits });
+        Self {
+            entry,
+            request: search.request.clone(),
+            attempt: search.attempt,
+            version: search.version,
+            shard: search.shard,
+            generation,
+            body: body.expect("scores are finite").into(),
+        }
+    }
+
+    pub(super) fn into_response(self) -> Response<Body> {
+        let mut response = Response::new(http::full(self.body));
+        let headers = response.headers_mut();
+        let json = HeaderValue::from_static("application/json");
+        headers.insert(hyper::header::CONTENT_TYPE, json);
+        identify(headers, &self.request, self.attempt, self.generation);
+        headers.insert(INDEX_VERSION, self.version.into());
+        headers.insert(SHARD, self.shard.into());
+        response
+    }
+}
+
+fn identify(headers: &mut HeaderMap, request: &str, attempt: u32, generation: u64) {
+    if let Ok(request) = HeaderValue::from_str(request) {
+        headers.insert(REQUEST_ID, request);
+    }
+    headers.insert(ATTEMPT, attempt.into());
+    headers.insert(GENERATION, generation.into());
+}
+
+/// Builds an answer other than 200; `started` tells whether the work had begun.
+pub(super) fn refusal(
+    search: &Search,
+    generation: u64,
+    status: u16,
+    error: &str,
+    started: bool,
+    retry_after_ms: u64,
+) -> Response<Body> {
+    let status = StatusCode::from_u16(status).expect("all statuses are constants");
+    let mut response = http::json_response(status, &json!({ "error": error, "started": started }));
+    let headers = response.headers_mut();
+    identify(headers, &search.request, search.attempt, generation);
+    if status == StatusCode::TOO_MANY_REQUESTS {
+        headers.insert(RETRY_AFTER_MS, retry_after_ms.into());
+    }
+    response
+}
