--- a/standins/src/bin/standin-store.rs
+++ b/standins/src/bin/standin-store.rs
@@ -17,7 +17,11 @@
 #[tokio::main]
 async fn main() -> anyhow::Result<()> {
     let Arguments { listen } = Arguments::parse();
-    let store = store::bind(Config { listen }).await?;
+    let store = store::bind(Config {
+        listen,
+        ..Config::default()
+    })
+    .await?;
     println!("listening on {}", store.address());
     pending().await
 }
--- a/standins/src/store/data.rs
+++ b/standins/src/store/data.rs
@@ -14,9 +14,6 @@
 /// The longest value that a put may carry; the platform promises values up to a megabyte.
 pub const VALUE_LIMIT: usize = 1 << 20;
 
-/// How many revisions a watch can start in the past; older ones count as compacted.
-const HISTORY_REVISIONS: usize = 10_000;
-
 /// How many bytes of values the history of the watches may hold.
 const HISTORY_BYTES: usize = 64 << 20;
 
@@ -77,6 +74,7 @@
     pub next_lease: i64,
     history: VecDeque<(i64, Vec<Event>)>,
     history_bytes: usize,
+    history_revisions: usize,
     /// The newest revision that the history no longer holds.
     compacted: i64,
     pub journal: Vec<Write>,
@@ -94,7 +92,7 @@
 }
 
 impl Data {
-    pub(super) const fn new(started: Instant) -> Self {
+    pub(super) const fn new(started: Instant, history_revisions: usize) -> Self {
         Self {
             started,
             // The real store counts from 1, so that revision 0 can mean "none".
@@ -104,6 +102,7 @@
             next_lease: 7_001,
             history: VecDeque::new(),
             history_bytes: 0,
+            history_revisions,
             compacted: 1,
             journal: Vec::new(),
             truncate_values: false,
@@ -200,7 +199,7 @@
         });
         self.history_bytes += bytes_of(&events);
         self.history.push_back((self.revision, events));
-        while self.history.len() > HISTORY_REVISIONS || self.history_bytes > HISTORY_BYTES {
+        while self.history.len() > self.history_revisions || self.history_bytes > HISTORY_BYTES {
             let Some((revision, events)) = self.history.pop_front() else {
                 break;
             };
--- a/standins/src/store/mod.rs
+++ b/standins/src/store/mod.rs
@@ -38,12 +38,15 @@
 pub struct Config {
     /// Where to listen; port 0 takes a free port.
     pub listen: SocketAddr,
+    /// How many revisions a watch can start in the past; older ones count as compacted.
+    pub history_revisions: usize,
 }
 
 impl Default for Config {
     fn default() -> Self {
         Self {
             listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            history_revisions: 10_000,
         }
     }
 }
@@ -96,7 +99,7 @@
     let address = listener.local_addr()?;
     let tasks = Tasks::new();
     let service = Arc::new(Service {
-        data: Mutex::new(data::Data::new(Instant::now())),
+        data: Mutex::new(data::Data::new(Instant::now(), config.history_revisions)),
         counter: Mutex::default(),
         disturbance: Mutex::default(),
         down: channel::Sender::new(false),
