Test the gate and the ramp through lists of events

Cause: slots, permits, deadlines and the cold start need a guard at every step. Change: tests/gate.rs with a fixed-seed property test of 2,000 cases, tests/ramp.rs.

--- /dev/null
+++ b/tests/gate.rs
@@ -0,0 +1,443 @@
+//! Drives the gate of one target through lists of events.
+
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use redwinggrade::process::gate::{ABANDONED_HOLD, Action, Completion, Event, Gate, Job, JobKey};
+use redwinggrade::process::ramp::Stage;
+use redwinggrade::time::Moment;
+use redwinggrade::version::policy;
+use redwinggrade::wire::Reason;
+use rstest::rstest;
+use slotmap::SlotMap;
+
+const MS: Duration = Duration::from_millis(1);
+
+fn policy() -> policy::Target {
+    policy::Target {
+        slots: 2,
+        connections: 25,
+        connect: Duration::from_millis(5),
+        cold_concurrency: 2,
+        cold_rate: 1_000_000,
+        cold_answers: 4,
+        queue: 3,
+    }
+}
+
+/// A gate with its own clock and a permit without end.
+struct Bench {
+    gate: Gate,
+    keys: SlotMap<JobKey, ()>,
+    now: Moment,
+    permit: Moment,
+}
+
+impl Bench {
+    fn open() -> Self {
+        let now = Moment::from_millis(1_000);
+        Self {
+            gate: Gate::open(policy(), Moment::ZERO, now),
+            keys: SlotMap::with_key(),
+            now,
+            permit: Moment::NEVER,
+        }
+    }
+
+    fn step(&mut self, event: Event) -> Vec<Action> {
+        self.now = self.now + MS;
+        self.gate.step(event, self.now, self.permit).to_vec()
+    }
+
+    fn job(&mut self, priority: u8, remaining_ms: u32) -> Job {
+        Job {
+            key: self.keys.insert(()),
+            deadline: self.now + MS * remaining_ms,
+            priority,
+            idempotent: true,
+        }
+    }
+
+    fn offer(&mut self, priority: u8, remaining_ms: u32) -> (JobKey, Vec<Action>) {
+        let job = self.job(priority, remaining_ms);
+        (job.key, self.step(Event::Offer(job)))
+    }
+
+    /// Fills both slots and returns the running jobs.
+    fn fill(&mut self) -> [JobKey; 2] {
+        [(); 2].map(|()| {
+            let (key, actions) = self.offer(1, 10_000);
+            assert_eq!(actions, [Action::Dispatch(key)]);
+            key
+        })
+    }
+
+    fn finish(&mut self, key: JobKey, result: Completion) -> Vec<Action> {
+        self.step(Event::Finished { key, result })
+    }
+}
+
+const ANSWERED: Completion = Completion::Answered {
+    generation: Some(1),
+};
+
+/// Guards against urgent work that waits behind other work.
+#[test]
+fn the_queue_follows_priority_and_deadline() {
+    let mut bench = Bench::open();
+    let [first, _] = bench.fill();
+    let (late, _) = bench.offer(1, 900);
+    let (soon, _) = bench.offer(1, 800);
+    let (urgent, _) = bench.offer(0, 1_000);
+    let mut running = first;
+    for next in [urgent, soon, late] {
+        assert_eq!(bench.finish(running, ANSWERED), [Action::Dispatch(next)]);
+        running = next;
+    }
+}
+
+/// Guards against an unbounded queue, and against one that keeps the wrong entries.
+#[test]
+fn a_full_queue_drops_the_worst_entry() {
+    let mut bench = Bench::open();
+    bench.fill();
+    let (worst, _) = bench.offer(2, 900);
+    bench.offer(1, 900);
+    bench.offer(1, 900);
+    let (_, actions) = bench.offer(0, 900);
+    assert_eq!(actions, [Action::Refuse(worst, Reason::QueueFull)]);
+    let (key, actions) = bench.offer(3, 900);
+    assert_eq!(actions, [Action::Refuse(key, Reason::QueueFull)]);
+}
+
+/// Guards against dispatching expired work, whatever its place in the queue.
+#[test]
+fn expired_work_is_refused_from_the_queue() {
+    let mut bench = Bench::open();
+    bench.fill();
+    bench.offer(0, 900);
+    let (key, _) = bench.offer(1, 20);
+    let wake = bench.gate.wake().unwrap();
+    assert!(wake <= bench.now + MS * 20);
+    bench.now = bench.now + MS * 20;
+    assert_eq!(
+        bench.step(Event::Tick),
+        [Action::Refuse(key, Reason::Expired)]
+    );
+}
+
+/// Guards against work that waits for a target that cannot answer in time; a replica might.
+#[test]
+fn work_that_cannot_finish_in_time_is_refused_early() {
+    let mut bench = Bench::open();
+    let [first, second] = bench.fill();
+    bench.now = bench.now + MS * 50;
+    bench.finish(first, ANSWERED);
+    bench.finish(second, ANSWERED);
+    let (key, actions) = bench.offer(1, 30);
+    assert_eq!(actions, [Action::Refuse(key, Reason::Expired)]);
+    bench.fill();
+    // A queued job needs the time of a running one before its own.
+    let (key, actions) = bench.offer(1, 70);
+    assert_eq!(actions, [Action::Refuse(key, Reason::Expired)]);
+    assert_eq!(bench.offer(1, 500).1, []);
+}
+
+/// Guards against a slot that is used twice because the answer of its job is no longer waited for.
+#[rstest]
+#[case::cancelled(false)]
+#[case::timed_out(true)]
+fn an_abandoned_job_keeps_its_slot(#[case] timeout: bool, #[values(true, false)] confirmed: bool) {
+    let mut bench = Bench::open();
+    let (abandoned, _) = bench.offer(1, 100);
+    bench.offer(1, 10_000);
+    let actions = if timeout {
+        bench.now = bench.now + MS * 100;
+        bench.step(Event::Tick)
+    } else {
+        bench.step(Event::Cancel(abandoned))
+    };
+    assert_eq!(actions, [Action::Abort(abandoned)]);
+    let (waiting, actions) = bench.offer(1, 9_000);
+    assert_eq!(actions, []);
+    if confirmed {
+        let actions = bench.finish(abandoned, Completion::Refused(Reason::Cancelled));
+        assert_eq!(actions, [Action::Dispatch(waiting)]);
+    } else {
+        bench.now = bench.now + ABANDONED_HOLD;
+        let actions = bench.step(Event::Tick);
+        assert_eq!(
+            actions,
+            [Action::Release(abandoned), Action::Dispatch(waiting)]
+        );
+        assert_eq!(bench.finish(abandoned, ANSWERED), []);
+    }
+    assert_eq!(bench.gate.load().running, 2);
+}
+
+/// Guards against a slot that counts as free although the target may still work after the loss of
+/// its connection.
+#[test]
+fn a_lost_connection_keeps_its_slot_for_a_while() {
+    let mut bench = Bench::open();
+    let [first, _] = bench.fill();
+    assert_eq!(
+        bench.finish(first, Completion::Lost(Reason::ConnectionLost)),
+        []
+    );
+    assert_eq!(bench.gate.load().running, 2);
+    bench.now = bench.now + ABANDONED_HOLD;
+    assert_eq!(bench.step(Event::Tick), [Action::Release(first)]);
+    assert_eq!(bench.gate.load().running, 1);
+}
+
+/// Guards against an unknown outcome of non-idempotent work that was going to be known.
+#[test]
+fn running_non_idempotent_work_is_not_cancelled() {
+    let mut bench = Bench::open();
+    let mut job = bench.job(1, 900);
+    job.idempotent = false;
+    bench.step(Event::Offer(job));
+    assert_eq!(bench.step(Event::Cancel(job.key)), []);
+}
+
+/// Guards against queued work that runs although nobody waits for it.
+#[test]
+fn queued_work_is_cancelled_as_not_run() {
+    let mut bench = Bench::open();
+    let [first, _] = bench.fill();
+    let (key, _) = bench.offer(1, 900);
+    assert_eq!(
+        bench.step(Event::Cancel(key)),
+        [Action::Refuse(key, Reason::Cancelled)]
+    );
+    assert_eq!(bench.finish(first, ANSWERED), []);
+}
+
+/// Guards against a dispatch without a permit when the permit ends between offer and dispatch.
+#[test]
+fn a_permit_that_ends_refuses_the_queue() {
+    let mut bench = Bench::open();
+    let [first, _] = bench.fill();
+    let (key, actions) = bench.offer(1, 900);
+    assert_eq!(actions, []);
+    bench.permit = bench.now + MS;
+    let actions = bench.finish(first, ANSWERED);
+    assert_eq!(actions, [Action::Refuse(key, Reason::NoPermit)]);
+}
+
+/// Guards against a dispatch by a new owner while the earlier owner may still dispatch.
+#[test]
+fn nothing_is_dispatched_before_the_ownership_is_valid() {
+    let mut bench = Bench::open();
+    bench.gate = Gate::open(policy(), bench.now + MS * 3, bench.now);
+    let (key, actions) = bench.offer(1, 900);
+    assert_eq!(actions, [Action::Refuse(key, Reason::NoPermit)]);
+    bench.offer(1, 900);
+    let (key, actions) = bench.offer(1, 900);
+    assert_eq!(actions, [Action::Dispatch(key)]);
+}
+
+/// Guards against new work for a target that is given up, leaving or out, and against the loss of
+/// its running work.
+#[rstest]
+fn a_closed_gate_refuses_and_finishes(
+    #[values(Reason::NotOwner, Reason::OutOfService, Reason::Draining)] reason: Reason,
+) {
+    let mut bench = Bench::open();
+    let [first, second] = bench.fill();
+    let (queued, _) = bench.offer(1, 900);
+    assert_eq!(
+        bench.step(Event::Close(reason)),
+        [Action::Refuse(queued, reason)]
+    );
+    let (later, actions) = bench.offer(1, 900);
+    assert_eq!(actions, [Action::Refuse(later, reason)]);
+    assert!(!bench.gate.is_idle());
+    bench.finish(first, ANSWERED);
+    bench.finish(second, ANSWERED);
+    assert!(bench.gate.is_idle());
+    bench.step(Event::Reopen(bench.now));
+    assert_eq!(bench.gate.ramp().stage(), Stage::Cold);
+    let (key, actions) = bench.offer(1, 900);
+    assert_eq!(actions, [Action::Dispatch(key)]);
+}
+
+/// Guards against more running work than changed settings allow.
+#[test]
+fn fewer_slots_apply_to_the_next_dispatch() {
+    let mut bench = Bench::open();
+    let [first, second] = bench.fill();
+    bench.step(Event::Policy(policy::Target {
+        slots: 1,
+        ..policy()
+    }));
+    let (key, _) = bench.offer(1, 900);
+    assert_eq!(bench.finish(first, ANSWERED), []);
+    assert_eq!(bench.finish(second, ANSWERED), [Action::Dispatch(key)]);
+}
+
+/// One random step: what happens, and the time before it.
+#[derive(Debug, Clone)]
+enum Move {
+    Offer(u8, u32, bool),
+    Finish(usize, Completion),
+    Cancel(usize),
+    Tick,
+    Permit(u32),
+    Policy(u16, u16, u32),
+    Generation(u64),
+    Suspect,
+    Close,
+    Reopen(u32),
+}
+
+fn moves() -> impl Strategy<Value = Vec<(u32, Move)>> {
+    let reasons = prop_oneof![
+        Just(ANSWERED),
+        Just(Completion::Answered {
+            generation: Some(2)
+        }),
+        Just(Completion::Refused(Reason::Shed)),
+        Just(Completion::Refused(Reason::NotSent)),
+        Just(Completion::Lost(Reason::ConnectionLost)),
+        Just(Completion::Lost(Reason::TargetError)),
+    ];
+    let step = prop_oneof![
+        6 => (0..3_u8, 0..300_u32, any::<bool>()).prop_map(|(p, d, i)| Move::Offer(p, d, i)),
+        6 => (0..8_usize, reasons).prop_map(|(index, result)| Move::Finish(index, result)),
+        2 => (0..20_usize).prop_map(Move::Cancel),
+        3 => Just(Move::Tick),
+        2 => (0..400_u32).prop_map(Move::Permit),
+        1 => (0..5_u16, 1..4_u16, 1..2_000_u32).prop_map(|(s, c, r)| Move::Policy(s, c, r)),
+        1 => (1..3_u64).prop_map(Move::Generation),
+        1 => Just(Move::Suspect),
+        1 => Just(Move::Close),
+        1 => (0..50_u32).prop_map(Move::Reopen),
+    ];
+    prop::collection::vec((0..20_u32, step), 1..200)
+}
+
+/// Checks every action of one run against what the gate was told.
+fn check(moves: &[(u32, Move)]) -> Result<(), TestCaseError> {
+    let mut bench = Bench::open();
+    let mut jobs: HashMap<JobKey, Job> = HashMap::new();
+    let mut order = Vec::new();
+    let (mut dispatched, mut settled) = (HashSet::new(), HashSet::new());
+    let mut occupied: Vec<JobKey> = Vec::new();
+    let (mut slots, mut valid_from, mut open) = (2, Moment::ZERO, true);
+    for (pause, step) in moves {
+        bench.now = bench.now + MS * *pause;
+        let event = match *step {
+            Move::Offer(priority, remaining, idempotent) => {
+                let job = Job {
+                    idempotent,
+                    ..bench.job(priority, remaining)
+                };
+                jobs.insert(job.key, job);
+                order.push(job.key);
+                Event::Offer(job)
+            }
+            Move::Finish(index, result) => {
+                let Some(key) = occupied.get(index).copied() else {
+                    continue;
+                };
+                if !matches!(result, Completion::Lost(Reason::ConnectionLost)) {
+                    occupied.retain(|other| *other != key);
+                }
+                Event::Finished { key, result }
+            }
+            Move::Cancel(index) => {
+                let Some(key) = order.iter().rev().nth(index) else {
+                    continue;
+                };
+                Event::Cancel(*key)
+            }
+            Move::Tick => Event::Tick,
+            Move::Permit(length) => {
+                bench.permit = bench.now + MS * length;
+                continue;
+            }
+            Move::Policy(count, cold_concurrency, cold_rate) => {
+                slots = usize::from(count);
+                Event::Policy(policy::Target {
+                    slots: count,
+                    cold_concurrency,
+                    cold_rate,
+                    ..policy()
+                })
+            }
+            Move::Generation(generation) => Event::Generation(generation),
+            Move::Suspect => Event::Suspect,
+            Move::Close => {
+                open = false;
+                Event::Close(Reason::OutOfService)
+            }
+            Move::Reopen(delay) => {
+                (open, valid_from) = (true, bench.now + MS * delay);
+                Event::Reopen(valid_from)
+            }
+        };
+        let actions = bench.step(event);
+        let load = bench.gate.load();
+        let fresh = actions
+            .iter()
+            .any(|action| matches!(action, Action::Dispatch(_)));
+        for action in actions {
+            match action {
+                Action::Dispatch(key) => {
+                    prop_assert!(open && bench.now < bench.permit && bench.now >= valid_from);
+                    prop_assert!(
+                        bench.now < jobs[&key].deadline,
+                        "dispatched after its deadline"
+                    );
+                    prop_assert!(dispatched.insert(key), "dispatched twice");
+                    prop_assert!(!settled.contains(&key), "dispatched after a refusal");
+                    occupied.push(key);
+                }
+                Action::Refuse(key, reason) => {
+                    prop_assert!(reason.not_run() && !dispatched.contains(&key));
+                    prop_assert!(settled.insert(key), "refused twice");
+                }
+                Action::Abort(key) => prop_assert!(dispatched.contains(&key)),
+                Action::Release(key) => occupied.retain(|other| *other != key),
+            }
+        }
+        prop_assert_eq!(
+            occupied.len(),
+            usize::from(load.running),
+            "the slots are miscounted"
+        );
+        if fresh {
+            prop_assert!(occupied.len() <= slots.min(usize::from(load.limit)));
+        }
+        prop_assert!(load.queued <= policy().queue);
+        let waiting = jobs.len() - dispatched.len() - settled.len();
+        prop_assert_eq!(
+            waiting,
+            usize::from(load.queued),
+            "a job is neither refused nor queued"
+        );
+        // Whatever waits or runs is looked at again by its deadline.
+        let due = bench.gate.wake().unwrap_or(Moment::NEVER);
+        prop_assert!(bench.gate.is_idle() || due < Moment::NEVER);
+    }
+    Ok(())
+}
+
+/// Guards the promises of the gate against every order of events that 2,000 cases find.
+#[test]
+fn no_order_of_events_breaks_a_promise() {
+    let config = Config {
+        cases: 2_000,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    if let Err(error) = runner.run(&moves(), |moves| check(&moves)) {
+        panic!("{error}");
+    }
+}
--- /dev/null
+++ b/tests/ramp.rs
@@ -0,0 +1,242 @@
+//! Drives the cold start of one target through lists of events.
+
+use std::time::Duration;
+
+use redwinggrade::process::ramp::{
+    IDLE_COLD, IDLE_SUSPECT, RECOVERY_ANSWERS, Ramp, SHED_DELAY, SHED_LIMIT, STEP_ANSWERS,
+    SURGE_ANSWERS, Stage,
+};
+use redwinggrade::time::Moment;
+use redwinggrade::version::policy;
+use redwinggrade::wire::Reason;
+use rstest::rstest;
+
+const LATENCY: Duration = Duration::from_millis(2);
+
+fn policy() -> policy::Target {
+    policy::Target {
+        slots: 8,
+        connections: 25,
+        connect: Duration::from_millis(5),
+        cold_concurrency: 1,
+        cold_rate: 100,
+        cold_answers: 10,
+        queue: 8,
+    }
+}
+
+/// A ramp with its own clock, which runs one request after the other.
+struct Bench {
+    ramp: Ramp,
+    now: Moment,
+}
+
+impl Bench {
+    fn cold() -> Self {
+        let now = Moment::from_millis(1_000);
+        let ramp = Ramp::open(policy(), now);
+        Self { ramp, now }
+    }
+
+    fn warm() -> Self {
+        let mut bench = Self::cold();
+        bench.answers(1_000, 1);
+        assert_eq!(bench.stage(), (Stage::Warm, 8));
+        bench
+    }
+
+    fn stage(&self) -> (Stage, u16) {
+        (self.ramp.stage(), self.ramp.limit())
+    }
+
+    fn start(&mut self) -> Moment {
+        self.now = self.now.max(self.ramp.next_start());
+        self.ramp.observe(0, self.now);
+        self.ramp.start(self.now);
+        self.now
+    }
+
+    fn answer_after(&mut self, latency: Duration, generation: u64) {
+        let started = self.start();
+        self.now = started + latency;
+        self.ramp.answer(started, Some(generation), self.now);
+    }
+
+    fn answers(&mut self, count: u32, generation: u64) {
+        for _ in 0..count {
+            self.answer_after(LATENCY, generation);
+        }
+    }
+
+    fn fail(&mut self, fault: Fault) {
+        let started = self.start();
+        self.now = started + LATENCY;
+        match fault {
+            Fault::Refused(reason) => self.ramp.refuse(reason, started, self.now),
+            Fault::Lost(reason) => self.ramp.lose(reason, started, self.now),
+            Fault::Restart => self.ramp.answer(started, Some(2), self.now),
+            Fault::Idle(time) => {
+                self.ramp.answer(started, Some(1), self.now);
+                self.now = self.now + time;
+                self.ramp.observe(0, self.now);
+            }
+            Fault::Surge => {
+                for _ in 0..SURGE_ANSWERS {
+                    self.answer_after(LATENCY * 20, 1);
+                }
+            }
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Fault {
+    Refused(Reason),
+    Lost(Reason),
+    Restart,
+    Idle(Duration),
+    Surge,
+}
+
+/// Guards against a cold start that is faster than the settings allow, and against one that never
+/// ends.
+#[test]
+fn a_cold_target_is_paced_and_warms_in_steps() {
+    let mut bench = Bench::cold();
+    let first = bench.start();
+    assert_eq!(bench.ramp.next_start(), first + Duration::from_millis(10));
+    assert_eq!(bench.stage(), (Stage::Cold, 1));
+    // The first answer shows the generation, so it cannot count for it.
+    bench.answers(1 + policy().cold_answers - 1, 1);
+    assert_eq!(bench.stage(), (Stage::Cold, 1));
+    bench.answers(1, 1);
+    assert_eq!(bench.stage(), (Stage::Warming, 2));
+    bench.answers(STEP_ANSWERS, 1);
+    assert_eq!(bench.stage(), (Stage::Warming, 4));
+    bench.answers(1_000, 1);
+    assert_eq!(bench.stage(), (Stage::Warm, 8));
+    assert_eq!(bench.ramp.interval(), Duration::ZERO);
+}
+
+/// Guards against full load on a target that turned cold, at every stage of its life.
+#[rstest]
+fn doubt_means_cold(
+    #[values(0, 5, 12, 17, 25, 1_000)] answers: u32,
+    #[values(
+        Fault::Restart,
+        Fault::Refused(Reason::NotSent),
+        Fault::Refused(Reason::Draining),
+        Fault::Lost(Reason::ConnectionLost),
+        Fault::Lost(Reason::TargetError),
+        Fault::Lost(Reason::MismatchedAnswer),
+        Fault::Idle(IDLE_SUSPECT),
+        Fault::Idle(IDLE_COLD),
+        Fault::Surge
+    )]
+    fault: Fault,
+) {
+    let mut bench = Bench::cold();
+    bench.answers(answers, 1);
+    bench.fail(fault);
+    assert_eq!(bench.stage(), (Stage::Cold, 1));
+    assert!(bench.ramp.interval() >= Duration::from_millis(10));
+}
+
+/// Guards against a full cold start after a mere lost connection, and against a return to full load
+/// on the word of an answer that was on its way before, or of another generation.
+#[rstest]
+#[case::same_generation(false, 1, Stage::Warm)]
+#[case::other_generation(false, 2, Stage::Cold)]
+#[case::started_before(true, 1, Stage::Cold)]
+fn only_a_new_answer_of_the_same_generation_ends_suspicion(
+    #[case] before: bool,
+    #[case] generation: u64,
+    #[case] expected: Stage,
+) {
+    let mut bench = Bench::warm();
+    let early = bench.start();
+    bench.now = bench.now + LATENCY;
+    bench.ramp.lose(Reason::ConnectionLost, early, bench.now);
+    assert!(bench.ramp.is_suspect());
+    let started = if before { early } else { bench.start() };
+    bench.now = bench.now + LATENCY;
+    bench.ramp.answer(started, Some(generation), bench.now);
+    assert_eq!(bench.ramp.stage(), expected);
+}
+
+/// Guards against answers of the warm time that count for the cold time.
+#[test]
+fn answers_to_earlier_requests_do_not_warm() {
+    let mut bench = Bench::warm();
+    let early = bench.start();
+    bench.fail(Fault::Restart);
+    for _ in 0..policy().cold_answers * 2 {
+        bench.ramp.answer(early, Some(2), bench.now);
+    }
+    assert_eq!(bench.stage(), (Stage::Cold, 1));
+}
+
+/// Guards against pressure on a target that sheds load, and against growth that is too quick after.
+#[test]
+fn shedding_lowers_and_delays() {
+    let mut bench = Bench::warm();
+    bench.fail(Fault::Refused(Reason::Shed));
+    assert_eq!(bench.stage(), (Stage::Recovering, 4));
+    assert_eq!(bench.ramp.next_start(), bench.now + SHED_DELAY);
+    bench.answers(RECOVERY_ANSWERS, 1);
+    assert_eq!(bench.stage(), (Stage::Recovering, 5));
+    for _ in 0..SHED_LIMIT {
+        bench.fail(Fault::Refused(Reason::Shed));
+    }
+    assert_eq!(bench.stage(), (Stage::Cold, 1));
+}
+
+/// Guards against one overload that counts as many because several requests ran.
+#[test]
+fn requests_shed_together_count_once() {
+    let mut bench = Bench::warm();
+    let started = bench.start();
+    bench.now = bench.now + LATENCY;
+    for _ in 0..5 {
+        bench.ramp.refuse(Reason::Shed, started, bench.now);
+    }
+    assert_eq!(bench.stage(), (Stage::Recovering, 4));
+}
+
+/// Guards against a cold start because of a single straggler, or because of refusals that say
+/// nothing about load.
+#[rstest]
+#[case(Reason::VersionGone)]
+#[case(Reason::Expired)]
+#[case(Reason::NoPermit)]
+#[case(Reason::Cancelled)]
+#[case(Reason::QueueFull)]
+fn harmless_events_leave_a_target_warm(#[case] reason: Reason) {
+    let mut bench = Bench::warm();
+    bench.fail(Fault::Refused(reason));
+    bench.answer_after(LATENCY * 50, 1);
+    bench.answers(1, 1);
+    bench.answer_after(LATENCY * 50, 1);
+    assert_eq!(bench.stage(), (Stage::Warm, 8));
+}
+
+/// Guards against more load than changed settings allow, and against a jump to untested slots.
+#[test]
+fn settings_apply_at_once() {
+    let mut bench = Bench::warm();
+    let fewer = policy::Target {
+        slots: 3,
+        ..policy()
+    };
+    bench.ramp.set_policy(fewer, bench.now);
+    assert_eq!(bench.stage(), (Stage::Warm, 3));
+    bench.ramp.set_policy(policy(), bench.now);
+    assert_eq!(bench.stage(), (Stage::Warming, 3));
+    bench.ramp.cool(bench.now);
+    let slower = policy::Target {
+        cold_rate: 10,
+        ..policy()
+    };
+    bench.ramp.set_policy(slower, bench.now);
+    assert_eq!(bench.ramp.interval(), Duration::from_millis(100));
+}
