--- /dev/null
+++ b/src/command/change.rs
@@ -0,0 +1,223 @@
+//! What every command that changes the settings does: write once, settle, confirm.
+//!
+//! Each write carries an operation id. If its answer is lost, the log is read back until the outcome
+//! is known or the time is up; nothing is written a second time. See `docs/design.md`, section 5.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use clap::Args;
+use serde_json::json;
+use tokio::task::JoinSet;
+
+use super::{Context, Exit, Failure, Report};
+use crate::connection::admin;
+use crate::connection::settings::{self, Mark, Written};
+use crate::connection::store::Store;
+use crate::process::record;
+use crate::time::Moment;
+use crate::version::Tree;
+use crate::version::acceptance::{Acceptance, Unconfirmed};
+use crate::version::edit::{self, Edit};
+use crate::version::log::{Change, Entry, Origin};
+use crate::wire::exchange::Record;
+
+/// Time between two looks at the store and the nodes while a change is settled or confirmed.
+const POLL: Duration = Duration::from_millis(200);
+/// Attempts of a single-value change that loses races; each starts from the newest version.
+const ATTEMPTS: usize = 5;
+
+/// How long to wait for a change.
+#[derive(Debug, Args)]
+pub struct Wait {
+    /// How long to wait for the outcome and for confirmations, in seconds.
+    #[arg(long, value_name = "SECONDS", default_value_t = 10)]
+    pub timeout: u64,
+}
+
+/// Writes `new` as the version after the mark, and waits until every cell has confirmed it.
+///
+/// `old` is the tree at the mark, unless it cannot be read.
+pub async fn commit(
+    context: &Context,
+    store: &Store,
+    mark: &Mark,
+    old: Option<&Tree>,
+    new: &Tree,
+    timeout: Duration,
+) -> Result<Report, Failure> {
+    if mark.head.is_some() && old == Some(new) {
+        let text = format!("no change, version {} holds these settings", mark.version());
+        return Ok(Report::ok(text, json!({"version": mark.version()})));
+    }
+    let until = context.clock.now() + timeout;
+    let origin = origin(mark.version());
+    let change = Change::prepare(mark.version(), mark.snapshot_version(), old, new, origin);
+    let mut written = settings::write(store, mark, &change).await?;
+    while let Written::Unknown(_) = written {
+        written = match settings::settle(store, &change).await {
+            Ok(settled) => settled,
+            Err(fault) => Written::Unknown(fault.to_string()),
+        };
+        let waiting = matches!(written, Written::Unknown(_));
+        if !waiting || context.clock.now() >= until {
+            break;
+        }
+        tokio::time::sleep(POLL).await;
+    }
+    match written {
+        Written::Stored => {
+            let cells = old.into_iter().chain([new]).flat_map(cells);
+            let acceptance = Acceptance::open(change.entry.version, cells);
+            Ok(confirm(context, store, &change.entry, acceptance, until).await)
+        }
+        Written::Conflict => Err(Failure::new(
+            Exit::Conflict,
+            format!(
+                "another change became version {} first; nothing was changed",
+                change.entry.version
+            ),
+        )
+        .hint("see it with `redwinggrade history`, and start again from `redwinggrade show`")),
+        Written::Unknown(reason) => Err(unknown(&change.entry.operation, &reason)),
+    }
+}
+
+/// Applies edits to the newest version, again from the start if another change comes first.
+///
+/// This is safe only for edits whose meaning does not depend on the version that they start from.
+pub async fn edit(context: &Context, edits: &[Edit], timeout: Duration) -> Result<Report, Failure> {
+    let store = context.store()?;
+    let mut attempt = 1;
+    loop {
+        let mark = settings::head(&store).await?;
+        let old = settings::tree(&store, &mark, mark.version()).await?;
+        let new = edit::apply(&old, edits)?;
+        match commit(context, &store, &mark, Some(&old), &new, timeout).await {
+            Err(failure) if failure.exit == Exit::Conflict && attempt < ATTEMPTS => attempt += 1,
+            decided => return decided,
+        }
+    }
+}
+
+/// Describes a write whose outcome could not be read back.
+pub fn unknown(operation: &str, reason: &str) -> Failure {
+    let message = format!(
+        "the outcome of operation {operation} is unknown: {reason}; it may still take effect"
+    );
+    Failure::new(Exit::Unknown, message).hint(format!(
+        "ask again with `redwinggrade history --operation {operation}`; do not repeat the change before"
+    ))
+}
+
+/// Polls the store and the nodes until every cell has confirmed the entry's version.
+pub async fn confirm(
+    context: &Context,
+    store: &Store,
+    entry: &Entry,
+    mut acceptance: Acceptance,
+    until: Moment,
+) -> Report {
+    let mut watch = Watch::default();
+    let waiting = loop {
+        watch.look(context, store, &mut acceptance).await;
+        let now = context.clock.now();
+        let waiting = acceptance.unconfirmed(now);
+        if waiting.is_empty() || now >= until {
+            break waiting;
+        }
+        tokio::time::sleep(POLL.min(now.until(until))).await;
+    };
+    describe(entry, &waiting, &watch.silent)
+}
+
+/// What the client has learned of cells and nodes.
+#[derive(Debug, Default)]
+struct Watch {
+    records: BTreeMap<String, Record>,
+    next_revision: u64,
+    /// Why nodes gave no status at the last look.
+    silent: Vec<admin::Error>,
+}
+
+impl Watch {
+    async fn look(&mut self, context: &Context, store: &Store, acceptance: &mut Acceptance) {
+        if let Ok(heads) = record::heads(store, self.next_revision).await {
+            let read = heads.records.into_iter();
+            self.records
+                .extend(read.map(|(cell, stored)| (cell, stored.record)));
+            // A damaged record hides the members of its cell, so that the read does not count.
+            if heads.damaged.is_empty() {
+                self.next_revision = heads.revision + 1;
+                acceptance.records(&self.records);
+            }
+        }
+        let mut asked = JoinSet::new();
+        for address in &context.nodes {
+            asked.spawn(admin::status(*address));
+        }
+        self.silent.clear();
+        for answer in asked.join_all().await {
+            match answer {
+                Ok(status) => acceptance.status(&status),
+                Err(fault) => self.silent.push(fault),
+            }
+        }
+    }
+}
+
+fn describe(entry: &Entry, waiting: &[Unconfirmed], silent: &[admin::Error]) -> Report {
+    let (version, operation) = (entry.version, &entry.operation);
+    let mut json = json!({
+        "version": version,
+        "operation": operation,
+        "base": entry.base,
+    });
+    if waiting.is_empty() {
+        let text =
+            format!("accepted: version {version} is in force everywhere (operation {operation})");
+        return Report::ok(text, json);
+    }
+    let cells: Vec<&str> = waiting.iter().map(|cell| cell.cell.as_str()).collect();
+    let mut text = format!(
+        "stored as version {version} (operation {operation}), not yet confirmed at {}\n",
+        cells.join(", ")
+    );
+    for cell in waiting {
+        text.push_str(&format!("  cell {}: {}", cell.cell, cell.reason));
+        if !cell.members.is_empty() {
+            text.push_str(&format!("; missing: {}", cell.members.join(", ")));
+        }
+        text.push('\n');
+    }
+    for fault in silent {
+        text.push_str(&format!("  {fault}\n"));
+    }
+    text.push_str(&format!(
+        "ask again with `redwinggrade history --operation {operation}`, with --node for each cell above"
+    ));
+    json["unconfirmed"] = json!(waiting);
+    Report {
+        exit: Exit::Unconfirmed,
+        text,
+        json,
+    }
+}
+
+fn cells(tree: &Tree) -> Vec<String> {
+    tree.data_centres()
+        .flat_map(|name| tree.cells(name).iter().cloned())
+        .collect()
+}
+
+/// An operation id names its base, so that its outcome is one look-up in the log.
+fn origin(base: u64) -> Origin {
+    let since_epoch = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    Origin {
+        operation: format!("{base}-{:016x}", rand::random::<u64>()),
+        author: std::env::var("USER").unwrap_or_else(|_| "unknown".to_owned()),
+        written_ms: since_epoch.as_millis() as u64,
+    }
+}
--- /dev/null
+++ b/src/command/diff.rs
@@ -0,0 +1,54 @@
+//! `redwinggrade diff FILE [--at VERSION]`
+//!
+//! Prints the edits that would turn the newest settings, or those at VERSION, into the file.
+
+use clap::Args;
+use serde_json::json;
+
+use super::{Context, Failure, Report, read_file};
+use crate::connection::settings;
+use crate::version::Tree;
+use crate::version::edit::{self, Edit};
+use crate::version::place::Path;
+
+/// Print the edits between the settings and a file.
+#[derive(Debug, Args)]
+pub struct Arguments {
+    /// The file, or `-` for standard input.
+    file: String,
+    /// The version to compare with instead of the newest.
+    #[arg(long, value_name = "VERSION")]
+    at: Option<u64>,
+}
+
+/// Runs the command.
+pub async fn run(arguments: &Arguments, context: &Context) -> Result<Report, Failure> {
+    let store = context.store()?;
+    let new = Tree::parse(&read_file(&arguments.file)?, &arguments.file)?;
+    let mark = settings::head(&store).await?;
+    let version = arguments.at.unwrap_or_else(|| mark.version());
+    let old = settings::tree(&store, &mark, version).await?;
+    let edits = edit::diff(&old, &new);
+    let mut text = format!("{} edits to version {version}\n", edits.len());
+    for edit in &edits {
+        text.push_str(&describe(edit, &old));
+        text.push('\n');
+    }
+    let json = json!({"version": version, "edits": edits});
+    Ok(Report::ok(text, json))
+}
+
+/// Describes an edit with the value that it replaces.
+pub fn describe(edit: &Edit, old: &Tree) -> String {
+    let before = Path::parse(edit.path())
+        .ok()
+        .and_then(|path| old.own_value(path.place, path.key?.name))
+        .map(ToString::to_string);
+    match (edit, before) {
+        (Edit::Set { path, value }, None) if value.is_null() => format!("+ {path}"),
+        (Edit::Set { path, value }, None) => format!("+ {path} = {value}"),
+        (Edit::Set { path, value }, Some(before)) => format!("~ {path} = {value} (was {before})"),
+        (Edit::Unset { path }, None) => format!("- {path}"),
+        (Edit::Unset { path }, Some(before)) => format!("- {path} (was {before})"),
+    }
+}
--- /dev/null
+++ b/src/command/history.rs
@@ -0,0 +1,117 @@
+//! `redwinggrade history [--limit N] [--operation ID] [--timeout SECONDS]`
+//!
+//! Lists the newest changes. With `--operation`, settles what became of one write: exit code 0 if it
+//! is in force everywhere, 3 if it is stored and not confirmed, 4 if another change took its place
+//! and it never takes effect, 5 if it may still arrive.
+
+use std::time::Duration;
+
+use clap::Args;
+use serde_json::json;
+
+use super::change::{self, Wait};
+use super::{Context, Exit, Failure, Report};
+use crate::connection::settings;
+use crate::connection::store::Store;
+use crate::version::acceptance::Acceptance;
+use crate::version::edit::Edit;
+use crate::version::log::{self, Entry};
+
+/// List changes, or settle the outcome of one.
+#[derive(Debug, Args)]
+pub struct Arguments {
+    /// The operation whose outcome is asked for.
+    #[arg(long, value_name = "ID")]
+    operation: Option<String>,
+    /// How many changes to list, newest first.
+    #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u64).range(1..=log::READ_LIMIT))]
+    limit: u64,
+    #[command(flatten)]
+    wait: Wait,
+}
+
+/// Runs the command.
+pub async fn run(arguments: &Arguments, context: &Context) -> Result<Report, Failure> {
+    let store = context.store()?;
+    match &arguments.operation {
+        Some(operation) => settle(arguments, context, &store, operation).await,
+        None => list(arguments, &store).await,
+    }
+}
+
+async fn settle(
+    arguments: &Arguments,
+    context: &Context,
+    store: &Store,
+    operation: &str,
+) -> Result<Report, Failure> {
+    let base: u64 = operation
+        .split_once('-')
+        .and_then(|(base, _)| base.parse().ok())
+        .ok_or_else(|| {
+            Failure::new(Exit::Usage, format!("{operation} is not an operation id"))
+                .hint("use the id that the command printed, such as 17-0123456789abcdef")
+        })?;
+    match settings::entry(store, base + 1).await? {
+        None => Err(change::unknown(operation, "it is not in the log")),
+        Some(entry) if entry.operation != operation => Err(Failure::new(
+            Exit::Conflict,
+            format!(
+                "operation {operation} did not take effect and never will: version {} is {}",
+                entry.version, entry.operation
+            ),
+        )
+        .hint("start again from `redwinggrade show`")),
+        Some(entry) => {
+            let until = context.clock.now() + Duration::from_secs(arguments.wait.timeout);
+            let acceptance = Acceptance::open(entry.version, Vec::<String>::new());
+            Ok(change::confirm(context, store, &entry, acceptance, until).await)
+        }
+    }
+}
+
+async fn list(arguments: &Arguments, store: &Store) -> Result<Report, Failure> {
+    let mark = settings::head(store).await?;
+    let newest = mark.version();
+    let first = (newest + 1).saturating_sub(arguments.limit).max(1);
+    let mut entries = Vec::new();
+    let mut text = String::new();
+    if newest > 0 {
+        for (version, value) in (first..).zip(settings::read_entries(store, first, newest).await?) {
+            match log::decode::<Entry>(&log::entry_key(version), &value) {
+                Ok(entry) => entries.push(entry),
+                Err(damage) => text.push_str(&format!("{damage}\n")),
+            }
+        }
+    }
+    entries.reverse();
+    for entry in &entries {
+        text.push_str(&line(entry));
+    }
+    if newest == 0 {
+        text.push_str("no version is stored");
+    }
+    Ok(Report::ok(
+        text,
+        json!({"version": newest, "entries": entries}),
+    ))
+}
+
+fn line(entry: &Entry) -> String {
+    /// Paths that one line names.
+    const PATHS: usize = 3;
+    let edits = match &entry.edits {
+        None => "whole tree".to_owned(),
+        Some(edits) => {
+            let mut paths: Vec<&str> = edits.iter().map(Edit::path).take(PATHS).collect();
+            if edits.len() > PATHS {
+                paths.push("...");
+            }
+            format!("{} edits: {}", edits.len(), paths.join(" "))
+        }
+    };
+    format!(
+        "version {} operation {} author {} written_ms {} {edits}\n",
+        entry.version, entry.operation, entry.author, entry.written_ms
+    )
+}
--- /dev/null
+++ b/src/connection/admin.rs
@@ -0,0 +1,66 @@
+//! Asks a node for its status, for the operators' client.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::Request;
+use hyper::client::conn::http1;
+use hyper::header::HOST;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::version::acceptance::Status;
+
+/// Longest time from connecting to having the whole status.
+pub const STATUS_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Longest status that is read; a cell has at most 16 members.
+const STATUS_LIMIT: usize = 1 << 20;
+
+/// Why a node gave no status.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("the node at {address} gave no status: {reason}")]
+pub struct Error {
+    /// The node's admin address.
+    pub address: SocketAddr,
+    /// What went wrong.
+    pub reason: String,
+}
+
+/// Reads the status of the node at the admin address.
+pub async fn status(address: SocketAddr) -> Result<Status, Error> {
+    let refuse = |reason: String| Error { address, reason };
+    timeout(STATUS_TIMEOUT, fetch(address))
+        .await
+        .unwrap_or_else(|_| Err("no answer in time".to_owned()))
+        .map_err(refuse)
+}
+
+async fn fetch(address: SocketAddr) -> Result<Status, String> {
+    let stream = TcpStream::connect(address).await.map_err(text)?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(text)?;
+    // The task ends when the sender is dropped.
+    tokio::spawn(connection);
+    let request = Request::get("/admin/status")
+        .header(HOST, address.to_string())
+        .body(Empty::<Bytes>::new())
+        .expect("the path is a constant");
+    let response = sender.send_request(request).await.map_err(text)?;
+    if !response.status().is_success() {
+        return Err(format!("status {}", response.status()));
+    }
+    let body = Limited::new(response.into_body(), STATUS_LIMIT)
+        .collect()
+        .await
+        .map_err(text)?;
+    serde_json::from_slice(&body.to_bytes()).map_err(text)
+}
+
+fn text<F>(fault: F) -> String
+where
+    F: std::fmt::Display,
+{
+    fault.to_string()
+}
--- a/src/connection/settings.rs
+++ b/src/connection/settings.rs
@@ -10,6 +10,7 @@
 use super::store::{self, Compare, KeyValue, Outcome, Put, Range, Store};
 use crate::version::Tree;
 use crate::version::log::{self, Change, Chunk, Entry, Head, Step};
+use crate::version::tree::Digest;
 
 /// How often a snapshot is written again because another writer replaced one of its pieces.
 const CHUNK_ATTEMPTS: usize = 3;
@@ -82,6 +83,34 @@
     })
 }
 
+/// Returns a mark to write over a head that is damaged, after the newest version in the log.
+///
+/// Fails unless `base` is the newest version that the log has.
+pub async fn repair(store: &Store, base: u64) -> Result<Mark, Error> {
+    let ranges = [
+        Range::key(log::HEAD_KEY),
+        Range::key(log::entry_key(base)).keys_only(),
+        Range::key(log::entry_key(base + 1)).keys_only(),
+    ];
+    let reading = store.ranges(&ranges).await?;
+    let [head, newest, next] = reading.ranges.as_slice() else {
+        return Err(store::Error::Unknown("it lacks a range".to_owned()).into());
+    };
+    if newest.is_empty() || !next.is_empty() {
+        let reason = format!("version {base} is not the newest in the log");
+        return Err(log::Error::new(log::HEAD_KEY, reason).into());
+    }
+    Ok(Mark {
+        head: Some(Head {
+            version: base,
+            digest: Digest(0),
+            operation: String::new(),
+            snapshot_version: 0,
+        }),
+        mod_revision: head.first().map_or(0, |head| head.mod_revision),
+    })
+}
+
 /// Reads the tree at a version that the head covers.
 pub async fn tree(store: &Store, mark: &Mark, version: u64) -> Result<Tree, Error> {
     if version > mark.version() {
@@ -173,8 +202,11 @@
     first: u64,
     last: u64,
 ) -> Result<Vec<Bytes>, store::Error> {
-    let span = Range::span(log::entry_key(first), log::entry_key(last.saturating_add(1)))
-        .limit(log::READ_LIMIT);
+    let span = Range::span(
+        log::entry_key(first),
+        log::entry_key(last.saturating_add(1)),
+    )
+    .limit(log::READ_LIMIT);
     let (_, found) = store.range(&span).await?;
     Ok(found.iter().map(KeyValue::value).collect())
 }
@@ -198,7 +230,8 @@
             return Ok(Written::Conflict);
         };
         compares.push(unmoved.clone());
-        // An entry without a head can only be left by hand; it must not be overwritten unseen.
+        // An entry that the head does not cover was left by hand; it is not overwritten unseen.
+        compares.push(Compare::unchanged(log::entry_key(version), 0));
         let puts = [
             Put::new(log::entry_key(version), log::encode(&change.entry)),
             Put::new(log::HEAD_KEY, log::encode(&change.head)),
@@ -231,10 +264,7 @@
     for chunk in &change.chunks {
         let key = log::chunk_key(chunk.version, chunk.part);
         let put = Put::new(key.clone(), log::encode(chunk));
-        match store
-            .txn(std::slice::from_ref(unmoved), &[put])
-            .await?
-        {
+        match store.txn(std::slice::from_ref(unmoved), &[put]).await? {
             Outcome::Done { revision } => compares.push(Compare::unchanged(key, revision)),
             Outcome::Conflict => return Ok(None),
         }
--- a/src/connection/store.rs
+++ b/src/connection/store.rs
@@ -386,15 +386,18 @@
             .expect("the path is a constant");
         sender.ready().await.map_err(not_sent(address))?;
         let answer = async {
-            let response = sender.try_send_request(request).await.map_err(|mut fault| {
-                let unsent = fault.take_message().is_some();
-                let reason = format!("{address}: {}", fault.into_error());
-                if unsent {
-                    Error::NotSent(reason)
-                } else {
-                    Error::Unknown(reason)
-                }
-            })?;
+            let response = sender
+                .try_send_request(request)
+                .await
+                .map_err(|mut fault| {
+                    let unsent = fault.take_message().is_some();
+                    let reason = format!("{address}: {}", fault.into_error());
+                    if unsent {
+                        Error::NotSent(reason)
+                    } else {
+                        Error::Unknown(reason)
+                    }
+                })?;
             let status = response.status();
             let body = Limited::new(response.into_body(), ANSWER_LIMIT)
                 .collect()
--- a/src/process/record.rs
+++ b/src/process/record.rs
@@ -107,8 +107,8 @@
 }
 
 fn decode(key: &str, found: &KeyValue) -> Result<Stored, log::Error> {
-    let record = serde_json::from_slice(&found.value())
-        .map_err(|fault| log::Error::new(key, fault))?;
+    let record =
+        serde_json::from_slice(&found.value()).map_err(|fault| log::Error::new(key, fault))?;
     Ok(Stored {
         record,
         mod_revision: found.mod_revision,
--- a/src/version/acceptance.rs
+++ b/src/version/acceptance.rs
@@ -89,6 +89,8 @@
 pub struct Acceptance {
     version: u64,
     cells: BTreeMap<String, Cell>,
+    /// The cell records were read after the write; without them a cell may be overlooked.
+    complete: bool,
 }
 
 #[derive(Debug, Default)]
@@ -122,6 +124,7 @@
     {
         Self {
             version,
+            complete: false,
             cells: cells
                 .into_iter()
                 .map(|cell| (cell.into(), Cell::default()))
@@ -134,6 +137,7 @@
     /// A cell without a record has no member that could hold a permit. A cell with a record counts
     /// even if the settings no longer name it, because its nodes may still be running.
     pub fn records(&mut self, records: &BTreeMap<String, Record>) {
+        self.complete = true;
         for (name, record) in records {
             let cell = self.cells.entry(name.clone()).or_default();
             cell.learn(Roster::from(record));
@@ -160,6 +164,13 @@
     /// Returns the cells that have not confirmed; the change is accepted if there are none.
     pub fn unconfirmed(&mut self, now: Moment) -> Vec<Unconfirmed> {
         let mut waiting = Vec::new();
+        if !self.complete {
+            waiting.push(Unconfirmed {
+                cell: "*".to_owned(),
+                members: Vec::new(),
+                reason: "the cell records could not be read since the write",
+            });
+        }
         for (name, cell) in &mut self.cells {
             if let Some((members, reason)) = cell.judge(now) {
                 waiting.push(Unconfirmed {
@@ -213,9 +224,7 @@
             return Some((missing, "no majority of its members is at the version"));
         }
         let since = *self.majority.get_or_insert(now);
-        (now.since(since) < GRACE).then_some((
-            missing,
-            "permits for the older version may still be valid",
-        ))
+        (now.since(since) < GRACE)
+            .then_some((missing, "permits for the older version may still be valid"))
     }
 }
--- a/src/version/log.rs
+++ b/src/version/log.rs
@@ -220,8 +220,8 @@
 
 /// Reads a canonical text and verifies its digest.
 pub fn restore(version: u64, digest: Digest, text: &str) -> Result<Tree, Error> {
-    let tree = Tree::from_canonical(text)
-        .map_err(|fault| Error::new(snapshot_prefix(version), fault))?;
+    let tree =
+        Tree::from_canonical(text).map_err(|fault| Error::new(snapshot_prefix(version), fault))?;
     if tree.digest() == digest {
         return Ok(tree);
     }
--- a/src/version/place.rs
+++ b/src/version/place.rs
@@ -89,9 +89,15 @@
             ["indexes", index, "data_centres", name, rest @ ..] => {
                 (Self::IndexAt(index, name), rest)
             }
-            ["indexes", index, "kinds", kind, "data_centres", name, rest @ ..] => {
-                (Self::KindAt(index, kind, name), rest)
-            }
+            [
+                "indexes",
+                index,
+                "kinds",
+                kind,
+                "data_centres",
+                name,
+                rest @ ..,
+            ] => (Self::KindAt(index, kind, name), rest),
             ["indexes", index, "kinds", kind, rest @ ..] => (Self::Kind(index, kind), rest),
             [
                 "indexes",
--- a/src/version/tree.rs
+++ b/src/version/tree.rs
@@ -428,6 +428,11 @@
         (!self.sections.contains_key(&path)).then_some(path)
     }
 
+    /// Returns the value that the section sets itself.
+    pub fn own_value(&self, place: Place<'_>, key: &str) -> Option<&Value> {
+        self.sections.get(&place.to_string())?.get(key)
+    }
+
     /// Tells whether the place is a declared section.
     pub fn has(&self, place: Place<'_>) -> bool {
         self.sections.contains_key(&place.to_string())
@@ -918,7 +923,10 @@
                 Node::Leaf(value) => value,
                 Node::Map(_) => &Json::Object(serde_json::Map::new()),
             };
-            match place.key(&name).and_then(|key| Ok((key, key.check(value)?))) {
+            match place
+                .key(&name)
+                .and_then(|key| Ok((key, key.check(value)?)))
+            {
                 Ok((known, value)) => {
                     declare(&mut self.sections, place).insert(known.name, value);
                     self.lines.insert(inner, line(key));
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,280 @@
+//! A stand-in for the platform's store, a node's admin endpoint, and a work directory for commands.
+#![allow(dead_code, reason = "each test file uses another part")]
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Output;
+use std::sync::{Arc, Mutex};
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use serde_json::{Value as Json, json};
+use tokio::net::TcpListener;
+use tokio::process::Command;
+
+/// What the store does to the next transactions that write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// It writes and closes the connection without an answer.
+    LoseAnswer,
+    /// It closes the connection and writes nothing.
+    LoseRequest,
+    /// It answers 429 and writes nothing.
+    Refuse,
+}
+
+#[derive(Debug, Clone, Default)]
+pub struct Keys {
+    pub revision: u64,
+    pub values: BTreeMap<String, (Vec<u8>, u64)>,
+    pub faults: Vec<Fault>,
+    pub writes: usize,
+    /// A write that is applied just before the next transaction, as another operator's would be.
+    pub race: Option<BTreeMap<String, Vec<u8>>>,
+}
+
+impl Keys {
+    pub fn put(&mut self, key: &str, value: Vec<u8>) {
+        self.revision += 1;
+        self.values.insert(key.to_owned(), (value, self.revision));
+    }
+
+    fn range(&self, request: &Json) -> Json {
+        let text = |name: &str| request[name].as_str().map(decode);
+        let first = text("key").unwrap_or_default();
+        let end = text("range_end").unwrap_or_else(|| format!("{first}\0"));
+        let least: u64 = request["min_mod_revision"]
+            .as_str()
+            .map_or(0, |least| least.parse().unwrap());
+        let limit: usize = request["limit"]
+            .as_str()
+            .map_or(usize::MAX, |limit| limit.parse().unwrap());
+        let kvs: Vec<Json> = self
+            .values
+            .range(first..end)
+            .filter(|(_, (_, revision))| *revision >= least)
+            .take(limit)
+            .map(|(key, (value, revision))| {
+                json!({
+                    "key": STANDARD.encode(key),
+                    "value": STANDARD.encode(value),
+                    "mod_revision": revision.to_string(),
+                })
+            })
+            .collect();
+        json!({"header": self.header(), "kvs": kvs, "count": kvs.len().to_string()})
+    }
+
+    fn header(&self) -> Json {
+        json!({"revision": self.revision.to_string()})
+    }
+
+    fn txn(&mut self, request: &Json) -> Json {
+        let list = |name: &str| request[name].as_array().cloned().unwrap_or_default();
+        let holds = list("compare").iter().all(|compare| {
+            let key = decode(compare["key"].as_str().unwrap());
+            let found = self.values.get(&key).map_or(0, |(_, revision)| *revision);
+            compare["mod_revision"] == found.to_string()
+        });
+        if !holds {
+            return json!({"header": self.header()});
+        }
+        let operations = list("success");
+        if operations.iter().any(|one| one.get("requestPut").is_some()) {
+            self.revision += 1;
+            self.writes += 1;
+        }
+        let mut responses = Vec::new();
+        for operation in operations {
+            if let Some(put) = operation.get("requestPut") {
+                let value = STANDARD.decode(put["value"].as_str().unwrap()).unwrap();
+                let key = decode(put["key"].as_str().unwrap());
+                self.values.insert(key, (value, self.revision));
+                responses.push(json!({"response_put": {"header": self.header()}}));
+            } else {
+                responses.push(json!({"response_range": self.range(&operation["requestRange"])}));
+            }
+        }
+        json!({"header": self.header(), "succeeded": true, "responses": responses})
+    }
+}
+
+fn decode(text: &str) -> String {
+    String::from_utf8(STANDARD.decode(text).unwrap()).unwrap()
+}
+
+/// A running stand-in of the store.
+#[derive(Clone)]
+pub struct StoreStandin {
+    pub address: SocketAddr,
+    pub keys: Arc<Mutex<Keys>>,
+}
+
+impl StoreStandin {
+    pub async fn bind() -> Self {
+        let keys = Arc::new(Mutex::new(Keys::default()));
+        let shared = Arc::clone(&keys);
+        let address = serve(move |path, body| {
+            let request: Json = serde_json::from_slice(&body).unwrap();
+            let mut keys = shared.lock().unwrap();
+            if path == "/v3/kv/range" {
+                return Some((200, keys.range(&request).to_string()));
+            }
+            let writes = request["success"].to_string().contains("requestPut");
+            if writes && let Some(race) = keys.race.take() {
+                for (key, value) in race {
+                    keys.put(&key, value);
+                }
+            }
+            match keys.faults.pop().filter(|_| writes) {
+                None => Some((200, keys.txn(&request).to_string())),
+                Some(Fault::LoseRequest) => None,
+                Some(Fault::Refuse) => Some((429, "too many requests".to_owned())),
+                Some(Fault::LoseAnswer) => {
+                    keys.txn(&request);
+                    None
+                }
+            }
+        })
+        .await;
+        Self { address, keys }
+    }
+
+    /// Sets the next fault.
+    pub fn fail(&self, fault: Fault) {
+        self.keys.lock().unwrap().faults.push(fault);
+    }
+
+    pub fn writes(&self) -> usize {
+        self.keys.lock().unwrap().writes
+    }
+
+    /// Changes the value of a key as a careless hand would.
+    pub fn damage(&self, key: &str, change: impl Fn(&mut Vec<u8>)) {
+        let mut keys = self.keys.lock().unwrap();
+        let mut value = keys.values[key].0.clone();
+        change(&mut value);
+        keys.put(key, value);
+    }
+}
+
+/// Serves status documents under `/admin/status`.
+pub async fn bind_node(status: Arc<Mutex<Json>>) -> SocketAddr {
+    serve(move |_, _| Some((200, status.lock().unwrap().to_string()))).await
+}
+
+/// Answers requests by `handle`; without an answer the connection is closed.
+async fn serve<H>(handle: H) -> SocketAddr
+where
+    H: Fn(&str, Bytes) -> Option<(u16, String)> + Clone + Send + Sync + 'static,
+{
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let handle = handle.clone();
+            let service = service_fn(move |request: Request<Incoming>| {
+                let handle = handle.clone();
+                async move {
+                    let path = request.uri().path().to_owned();
+                    let body = request.into_body().collect().await.unwrap().to_bytes();
+                    let (status, text) = handle(&path, body).ok_or("closed by a fault")?;
+                    let response = Response::builder().status(status);
+                    Ok::<_, &str>(response.body(Full::new(Bytes::from(text))).unwrap())
+                }
+            });
+            let connection = hyper::server::conn::http1::Builder::new();
+            tokio::spawn(connection.serve_connection(TokioIo::new(stream), service));
+        }
+    });
+    address
+}
+
+/// A directory with settings files, a store, and the operators' client.
+pub struct Workdir {
+    directory: tempfile::TempDir,
+    pub store: StoreStandin,
+    pub nodes: Vec<SocketAddr>,
+}
+
+/// What a command printed, and its exit code.
+#[derive(Debug)]
+pub struct Run {
+    pub code: i32,
+    pub out: String,
+    pub err: String,
+}
+
+impl From<Output> for Run {
+    fn from(output: Output) -> Self {
+        Self {
+            code: output.status.code().unwrap(),
+            out: String::from_utf8(output.stdout).unwrap(),
+            err: String::from_utf8(output.stderr).unwrap(),
+        }
+    }
+}
+
+impl Workdir {
+    pub async fn open() -> Self {
+        Self {
+            directory: tempfile::tempdir().unwrap(),
+            store: StoreStandin::bind().await,
+            nodes: Vec::new(),
+        }
+    }
+
+    /// Opens a work directory whose store holds the settings as version 1.
+    pub async fn with_settings(yaml: &str) -> Self {
+        let workdir = Self::open().await;
+        let file = workdir.file("first.yaml", yaml);
+        let run = workdir.run(&["apply", &file]).await;
+        assert_eq!(run.code, 0, "{run:?}");
+        workdir
+    }
+
+    pub fn file(&self, name: &str, text: &str) -> String {
+        let path: PathBuf = self.directory.path().join(name);
+        std::fs::write(&path, text).unwrap();
+        path.to_str().unwrap().to_owned()
+    }
+
+    pub async fn run(&self, arguments: &[&str]) -> Run {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_redwinggrade"));
+        command.arg("--store").arg(self.store.address.to_string());
+        for node in &self.nodes {
+            command.arg("--node").arg(node.to_string());
+        }
+        command.args(arguments).env("USER", "tester");
+        command.output().await.unwrap().into()
+    }
+}
+
+/// Settings with three data centres and an override at every level.
+pub const LEVELS: &str = "\
+defaults: { slots: 2, queue: 10, deadline_ms: 300 }
+data_centres:
+  dc1: { cells: [dc1-0], slots: 3 }
+  dc2: { cells: [dc2-0], state: out }
+  dc3: {}
+indexes:
+  viewing:
+    slots: 4
+    deadline_ms: 250
+    data_centres:
+      dc2: { slots: 5 }
+    kinds:
+      rush: { deadline_ms: 120, data_centres: { dc3: { deadline_ms: 90 } } }
+      plain: {}
+    services:
+      s00: { slots: 6, data_centres: { dc2: { slots: 7 } } }
+      s01: {}
+      s02: { data_centres: { dc2: { queue: 11 } } }
+";
