--- /dev/null
+++ b/tests/command.rs
@@ -0,0 +1,351 @@
+//! Guards the operators' client: one change per command, true exit codes, nothing written twice.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+
+use redwinggrade::connection::settings;
+use redwinggrade::connection::store::Store;
+use redwinggrade::version::edit::{self, Edit};
+use redwinggrade::version::log::{self, Change, Entry, Origin};
+use rstest::rstest;
+use serde_json::{Value as Json, json};
+use support::{Fault, LEVELS, Workdir};
+
+/// Prepares the change that another operator makes from the newest version.
+async fn other_change(workdir: &Workdir, path: &str, value: Json) -> BTreeMap<String, Vec<u8>> {
+    let store = Store::open(vec![workdir.store.address]);
+    let mark = settings::head(&store).await.unwrap();
+    let old = settings::tree(&store, &mark, mark.version()).await.unwrap();
+    let path = path.to_owned();
+    let new = edit::apply(&old, &[Edit::Set { path, value }]).unwrap();
+    let origin = Origin {
+        operation: format!("{}-other", mark.version()),
+        author: "other".to_owned(),
+        written_ms: 0,
+    };
+    let change = Change::prepare(mark.version(), 1, Some(&old), &new, origin);
+    let entry = (
+        log::entry_key(change.entry.version),
+        log::encode(&change.entry),
+    );
+    let head = (log::HEAD_KEY.to_owned(), log::encode(&change.head));
+    [entry, head]
+        .map(|(key, value)| (key, value.to_vec()))
+        .into()
+}
+
+/// The store's log, as operations by version.
+fn operations(workdir: &Workdir) -> Vec<String> {
+    let keys = workdir.store.keys.lock().unwrap();
+    let log = keys
+        .values
+        .iter()
+        .filter(|(key, _)| key.starts_with(log::LOG_PREFIX));
+    log.map(|(key, (value, _))| log::decode::<Entry>(key, value).unwrap().operation)
+        .collect()
+}
+
+#[tokio::test]
+async fn apply_show_and_apply_again() {
+    let workdir = Workdir::open().await;
+    let file = workdir.file("levels.yaml", LEVELS);
+    let first = workdir.run(&["apply", &file]).await;
+    assert_eq!(first.code, 0, "{first:?}");
+    assert!(
+        first.out.starts_with("accepted: version 1 "),
+        "{}",
+        first.out
+    );
+
+    let shown = workdir.run(&["show"]).await.out;
+    assert!(
+        shown.starts_with("# redwinggrade settings, version 1\n"),
+        "{shown}"
+    );
+    let same = workdir.file("same.yaml", &shown);
+    let unchanged = workdir.run(&["apply", &same]).await;
+    assert!(unchanged.out.starts_with("no change"), "{unchanged:?}");
+
+    let edited = workdir.file("edited.yaml", &shown.replace("queue: 10", "queue: 12"));
+    let diff = workdir.run(&["diff", &edited]).await;
+    assert!(
+        diff.out.contains("~ defaults.queue = 12 (was 10)"),
+        "{}",
+        diff.out
+    );
+    assert_eq!(workdir.run(&["apply", &edited]).await.code, 0);
+    let explained = workdir
+        .run(&["explain", "indexes.viewing.services.s01.queue"])
+        .await;
+    assert!(
+        explained
+            .out
+            .contains("queue = 12, set by defaults (version 2)"),
+        "{explained:?}"
+    );
+    assert!(
+        explained.out.contains("overrides 64 of built-in"),
+        "{explained:?}"
+    );
+    assert_eq!(workdir.run(&["show", "--at", "1"]).await.out, shown);
+    assert_eq!(workdir.run(&["show", "--at", "9"]).await.code, 1);
+}
+
+/// Guards against a file that silently undoes changes made since it was written.
+#[tokio::test]
+async fn a_stale_base_is_refused() {
+    let workdir = Workdir::with_settings(LEVELS).await;
+    let shown = workdir.run(&["show"]).await.out;
+    assert_eq!(workdir.run(&["data-centre", "out", "dc1"]).await.code, 0);
+    let writes = workdir.store.writes();
+    let stale = workdir.file("stale.yaml", &shown.replace("queue: 10", "queue: 12"));
+    let run = workdir.run(&["apply", &stale]).await;
+    assert_eq!(run.code, 4, "{run:?}");
+    assert!(run.err.contains("hint: "), "{run:?}");
+    let nameless = workdir.file("nameless.yaml", LEVELS);
+    let run = workdir.run(&["apply", &nameless]).await;
+    assert_eq!(run.code, 2, "{run:?}");
+    assert!(run.err.contains("--base 2"), "{run:?}");
+    assert_eq!(workdir.store.writes(), writes);
+}
+
+/// Guards against a lost update when two operators write at the same moment.
+#[tokio::test]
+async fn the_loser_of_a_race_changes_nothing() {
+    let workdir = Workdir::with_settings(LEVELS).await;
+    let shown = workdir.run(&["show"]).await.out;
+    let race = other_change(&workdir, "defaults.slots", 9.into()).await;
+    workdir.store.keys.lock().unwrap().race = Some(race);
+    let file = workdir.file("mine.yaml", &shown.replace("queue: 10", "queue: 12"));
+    let run = workdir.run(&["apply", &file]).await;
+    assert_eq!(run.code, 4, "{run:?}");
+    assert_eq!(operations(&workdir)[1], "1-other");
+
+    // A single-value change keeps its meaning on any version and is made again on the newest.
+    let race = other_change(&workdir, "defaults.slots", 8.into()).await;
+    workdir.store.keys.lock().unwrap().race = Some(race);
+    let run = workdir.run(&["data-centre", "out", "dc1"]).await;
+    assert_eq!(run.code, 0, "{run:?}");
+    let shown = workdir.run(&["show"]).await.out;
+    assert!(
+        shown.contains("slots: 8") && shown.contains("version 4"),
+        "{shown}"
+    );
+    let state = workdir.run(&["explain", "data_centres.dc1.state"]).await;
+    assert!(state.out.contains("state = out"), "{state:?}");
+}
+
+/// Guards against a second write after a lost answer.
+#[tokio::test]
+async fn a_lost_answer_is_settled_by_reading() {
+    let workdir = Workdir::with_settings(LEVELS).await;
+    workdir.store.fail(Fault::LoseAnswer);
+    let run = workdir.run(&["instance", "out", "node-7"]).await;
+    assert_eq!(run.code, 0, "{run:?}");
+    assert_eq!(operations(&workdir).len(), 2);
+
+    workdir.store.fail(Fault::LoseRequest);
+    let run = workdir
+        .run(&["instance", "out", "node-8", "--timeout", "0"])
+        .await;
+    assert_eq!(run.code, 5, "{run:?}");
+    assert_eq!(operations(&workdir).len(), 2);
+    let operation = run.err.split("operation ").nth(1).unwrap();
+    let operation = operation.split(' ').next().unwrap();
+    assert_eq!(
+        workdir
+            .run(&["history", "--operation", operation])
+            .await
+            .code,
+        5
+    );
+    assert_eq!(workdir.run(&["instance", "out", "node-9"]).await.code, 0);
+    let run = workdir.run(&["history", "--operation", operation]).await;
+    assert_eq!(run.code, 4, "{run:?}");
+    assert!(run.err.contains("never will"), "{run:?}");
+    let newest = operations(&workdir).pop().unwrap();
+    assert_eq!(
+        workdir.run(&["history", "--operation", &newest]).await.code,
+        0
+    );
+    let history = workdir.run(&["history", "--limit", "2"]).await.out;
+    assert!(
+        history.starts_with("version 3 ") && history.contains("author tester"),
+        "{history}"
+    );
+}
+
+/// Guards against a doubtful report when the store certainly did not write.
+#[tokio::test]
+async fn a_refusal_of_the_store_changes_nothing() {
+    let mut workdir = Workdir::with_settings(LEVELS).await;
+    workdir.store.fail(Fault::Refuse);
+    let run = workdir.run(&["instance", "out", "node-7"]).await;
+    assert_eq!(run.code, 1, "{run:?}");
+    assert!(
+        run.err.contains("429") && run.err.contains("nothing was changed"),
+        "{run:?}"
+    );
+    assert_eq!(operations(&workdir).len(), 1);
+    // Nothing listens on the port of a listener that is gone.
+    let gone = std::net::TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap();
+    workdir.store.address = gone;
+    let run = workdir.run(&["instance", "out", "node-7"]).await;
+    assert_eq!(run.code, 1, "{run:?}");
+    assert!(run.err.contains("cannot be reached"), "{run:?}");
+}
+
+fn record(names: &[&str]) -> Vec<u8> {
+    let member = |name: &&str| json!({"name": name, "incarnation": 1, "peer": "127.0.0.1:1", "caller": "127.0.0.1:2"});
+    let members: Vec<Json> = names.iter().map(member).collect();
+    json!({"revision": 1, "members": members, "ballot": null})
+        .to_string()
+        .into()
+}
+
+/// Guards against "accepted" before every cell has confirmed.
+#[tokio::test]
+async fn a_change_is_accepted_when_every_cell_has_confirmed() {
+    let mut workdir = Workdir::with_settings(LEVELS).await;
+    for cell in ["dc1-0", "left-behind"] {
+        let names = [format!("{cell}-a"), format!("{cell}-b")];
+        let names = [names[0].as_str(), names[1].as_str()];
+        workdir
+            .store
+            .keys
+            .lock()
+            .unwrap()
+            .put(&log::cell_key(cell), record(&names));
+    }
+    let run = workdir
+        .run(&["instance", "out", "n", "--timeout", "0", "--json"])
+        .await;
+    assert_eq!(run.code, 3, "{run:?}");
+    let report: Json = serde_json::from_str(&run.out).unwrap();
+    assert_eq!(report["outcome"], "unconfirmed");
+    assert_eq!(report["unconfirmed"][0]["cell"], "dc1-0");
+    assert_eq!(report["unconfirmed"][1]["cell"], "left-behind");
+
+    let status = |cell: &str, version: u64, seen: u64| {
+        json!({
+            "node": format!("{cell}-a"), "data_centre": "dc1", "cell": cell, "incarnation": 1,
+            "settings_version": version, "permit": true,
+            "seen": [{"name": format!("{cell}-b"), "settings": seen, "cell": 1, "age_ms": 5}],
+        })
+    };
+    let near = Arc::new(Mutex::new(status("dc1-0", 2, 2)));
+    let far = Arc::new(Mutex::new(status("left-behind", 2, 1)));
+    for status in [&near, &far] {
+        workdir
+            .nodes
+            .push(support::bind_node(Arc::clone(status)).await);
+    }
+    let operation = report["operation"].as_str().unwrap();
+    let ask = ["history", "--operation", operation, "--timeout", "0"];
+    let run = workdir.run(&ask).await;
+    assert_eq!(run.code, 3, "{run:?}");
+    assert!(
+        run.out.contains("not yet confirmed at left-behind\n"),
+        "{}",
+        run.out
+    );
+    assert!(run.out.contains("missing: left-behind-b"), "{}", run.out);
+    assert_eq!(workdir.run(&["status"]).await.code, 0);
+    *far.lock().unwrap() = status("left-behind", 2, 2);
+    let run = workdir.run(&ask).await;
+    assert_eq!(run.code, 0, "{run:?}");
+    *far.lock().unwrap() = status("left-behind", 1, 1);
+    assert_eq!(workdir.run(&["status"]).await.code, 3);
+}
+
+#[tokio::test]
+async fn data_centres_and_instances_go_out_and_in() {
+    let workdir = Workdir::with_settings(LEVELS).await;
+    for (direction, state) in [("out", "out"), ("in", "in")] {
+        assert_eq!(
+            workdir.run(&["data-centre", direction, "dc1"]).await.code,
+            0
+        );
+        let found = workdir
+            .run(&["explain", "data_centres.dc1.state"])
+            .await
+            .out;
+        assert!(found.contains(&format!("state = {state}")), "{found}");
+        assert_eq!(workdir.run(&["instance", direction, "t-1"]).await.code, 0);
+        let found = workdir.run(&["explain", "instances.t-1.state"]).await.out;
+        assert!(found.contains(&format!("state = {state}")), "{found}");
+    }
+    let run = workdir.run(&["data-centre", "out", "dc9"]).await;
+    assert_eq!(run.code, 1);
+    assert!(
+        run.err
+            .contains("hint: the data centres are: dc1, dc2, dc3"),
+        "{run:?}"
+    );
+    assert_eq!(workdir.run(&["instance", "out", "a.b"]).await.code, 2);
+}
+
+/// Guards against a damaged store that operators cannot see or repair.
+#[rstest]
+#[case::truncated(|value: &mut Vec<u8>| value.truncate(value.len() / 2))]
+#[case::edited(|value: &mut Vec<u8>| *value = String::from_utf8(value.clone()).unwrap().replace(":1", ":2").into())]
+#[tokio::test]
+async fn damage_is_reported_and_repaired(#[case] change: fn(&mut Vec<u8>)) {
+    for key in [
+        log::HEAD_KEY.to_owned(),
+        log::entry_key(1),
+        log::chunk_key(1, 0),
+    ] {
+        let workdir = Workdir::with_settings(LEVELS).await;
+        workdir.store.damage(&key, change);
+        let run = workdir.run(&["show"]).await;
+        assert_eq!(run.code, 1, "{run:?}");
+        assert!(
+            run.err.contains("is damaged") && run.err.contains("--rewrite"),
+            "{run:?}"
+        );
+        let file = workdir.file("good.yaml", LEVELS);
+        let run = workdir
+            .run(&["apply", &file, "--base", "1", "--rewrite"])
+            .await;
+        assert_eq!(run.code, 0, "{run:?}");
+        assert_eq!(workdir.run(&["show"]).await.code, 0);
+    }
+}
+
+#[rstest]
+#[case(&["check", "FILE"], 1, "bad.yaml:2: defaults.slots: expects a whole number")]
+#[case(&["apply", "FILE"], 1, "bad.yaml:2: defaults.slots: expects a whole number")]
+#[case(&["check", "/no/such/file"], 1, "No such file")]
+#[case(&["explain", "defaults.nothing"], 1, "unknown key")]
+#[case(&["history", "--operation", "nonsense"], 2, "not an operation id")]
+#[case(&["apply", "FILE", "--rewrite"], 2, "--base")]
+#[case(&["unknown"], 2, "unrecognized subcommand")]
+#[tokio::test]
+async fn wrong_input_is_refused(
+    #[case] arguments: &[&str],
+    #[case] code: i32,
+    #[case] reason: &str,
+) {
+    let workdir = Workdir::open().await;
+    let file = workdir.file("bad.yaml", "defaults:\n  slots: 0\n");
+    let arguments: Vec<&str> = arguments
+        .iter()
+        .map(|argument| {
+            if *argument == "FILE" {
+                file.as_str()
+            } else {
+                argument
+            }
+        })
+        .collect();
+    let run = workdir.run(&arguments).await;
+    assert_eq!(run.code, code, "{run:?}");
+    assert!(run.err.contains(reason), "{run:?}");
+    assert_eq!(workdir.store.writes(), 0);
+}
--- /dev/null
+++ b/tests/replica.rs
@@ -0,0 +1,349 @@
+//! Guards a node's copy of the settings: it only moves forward, to versions that were really written.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use bytes::Bytes;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+use redwinggrade::time::Moment;
+use redwinggrade::version::Tree;
+use redwinggrade::version::edit::{self, Edit};
+use redwinggrade::version::log::{self, Change, Origin};
+use redwinggrade::version::replica::{Action, Deltas, Event, FETCH_TIMEOUT, RECENT_LIMIT, Replica};
+use rstest::rstest;
+
+/// Runs of the random test; each has its number as the seed.
+const RUNS: u64 = 200;
+
+/// The store's settings: one value that changes with each version.
+struct Log {
+    changes: Vec<Change>,
+    trees: Vec<Tree>,
+}
+
+impl Log {
+    fn open(versions: u64) -> Self {
+        let mut log = Self {
+            changes: Vec::new(),
+            trees: vec![Tree::default()],
+        };
+        for version in 1..=versions {
+            log.write(version);
+        }
+        log
+    }
+
+    fn write(&mut self, version: u64) {
+        let old = self.trees.last().unwrap();
+        let edit = Edit::Set {
+            path: "defaults.queue".to_owned(),
+            value: version.into(),
+        };
+        let new = edit::apply(old, &[edit]).unwrap();
+        let origin = Origin {
+            operation: format!("op-{version}"),
+            author: "tester".to_owned(),
+            written_ms: 0,
+        };
+        let snapshot = self
+            .changes
+            .last()
+            .map_or(0, |last| last.head.snapshot_version);
+        self.changes.push(Change::prepare(
+            version - 1,
+            snapshot,
+            Some(old),
+            &new,
+            origin,
+        ));
+        self.trees.push(new);
+    }
+
+    fn head(&self, version: u64) -> Bytes {
+        log::encode(&self.changes[version as usize - 1].head)
+    }
+
+    fn head_event(&self, version: u64, started: Moment) -> Event {
+        Event::Head {
+            value: Some(self.head(version)),
+            started,
+        }
+    }
+
+    fn entries(&self, first: u64, last: u64) -> Vec<Bytes> {
+        (first..=last)
+            .map(|version| log::encode(&self.changes[version as usize - 1].entry))
+            .collect()
+    }
+
+    fn snapshot(&self, version: u64) -> Vec<Bytes> {
+        let chunks = &self.changes[version as usize - 1].chunks;
+        chunks.iter().map(log::encode).collect()
+    }
+
+    /// Answers an action as an undamaged store would.
+    fn answer(&self, action: &Action) -> Option<Event> {
+        match action {
+            Action::ReadEntries { first, last } => Some(Event::Entries {
+                values: self.entries(*first, *last),
+            }),
+            Action::ReadSnapshot { version } => Some(Event::Snapshot {
+                version: *version,
+                values: self.snapshot(*version),
+            }),
+            _ => None,
+        }
+    }
+
+    /// Brings the replica to the version.
+    fn bring(&self, replica: &mut Replica, version: u64, now: Moment) {
+        let mut queue = VecDeque::from([self.head_event(version, now)]);
+        while let Some(event) = queue.pop_front() {
+            for action in replica.step(event, now) {
+                assert!(!matches!(action, Action::Report(_)), "{action:?}");
+                queue.extend(self.answer(&action));
+            }
+        }
+        assert_eq!(replica.version(), version);
+    }
+}
+
+fn at(millis: u64) -> Moment {
+    Moment::from_millis(millis)
+}
+
+#[test]
+fn a_new_replica_reads_the_snapshot_and_the_entries_after_it() {
+    let log = Log::open(300);
+    let mut replica = Replica::open();
+    log.bring(&mut replica, 300, at(10));
+    assert_eq!(**replica.tree(), log.trees[300]);
+    assert_eq!(replica.current_as_of(), Some(at(10)));
+    let mut peer = Replica::open();
+    peer.step(
+        Event::Deltas {
+            deltas: replica.deltas(0),
+        },
+        at(20),
+    );
+    assert_eq!(peer.version(), 300);
+    assert!(matches!(replica.deltas(255), Deltas::Snapshot { .. }));
+    assert!(matches!(replica.deltas(256), Deltas::Entries(entries) if entries.len() == 44));
+    assert!(matches!(replica.deltas(300), Deltas::Entries(entries) if entries.is_empty()));
+}
+
+/// Guards against unbounded memory for peers that are far behind.
+#[test]
+fn only_the_last_entries_are_kept() {
+    let log = Log::open(600);
+    let mut replica = Replica::open();
+    for version in 1..=600 {
+        log.bring(&mut replica, version, at(version));
+    }
+    let oldest = 600 - RECENT_LIMIT as u64;
+    assert!(matches!(replica.deltas(oldest), Deltas::Entries(_)));
+    assert!(matches!(
+        replica.deltas(oldest - 1),
+        Deltas::Snapshot { .. }
+    ));
+}
+
+/// Guards against a store proof that claims more than the read showed.
+#[test]
+fn a_proof_holds_only_for_the_version_in_force() {
+    let log = Log::open(3);
+    let mut replica = Replica::open();
+    replica.step(
+        Event::Head {
+            value: None,
+            started: at(1),
+        },
+        at(2),
+    );
+    assert_eq!(replica.current_as_of(), Some(at(1)));
+    log.bring(&mut replica, 2, at(10));
+    replica.step(log.head_event(2, at(30)), at(31));
+    replica.step(log.head_event(2, at(20)), at(32));
+    assert_eq!(replica.current_as_of(), Some(at(30)));
+    replica.step(log.head_event(3, at(40)), at(41));
+    assert_eq!(replica.current_as_of(), None);
+    replica.step(log.head_event(2, at(39)), at(42));
+    assert_eq!(replica.current_as_of(), None);
+    replica.step(
+        Event::Entries {
+            values: log.entries(3, 3),
+        },
+        at(43),
+    );
+    assert_eq!(replica.current_as_of(), Some(at(40)));
+}
+
+type Damage = fn(Bytes) -> Bytes;
+
+fn truncate(value: Bytes) -> Bytes {
+    value.slice(..value.len() - 5)
+}
+
+fn edit_by_hand(value: Bytes) -> Bytes {
+    String::from_utf8(value.to_vec())
+        .unwrap()
+        .replace('2', "3")
+        .into()
+}
+
+/// Guards against damaged values that are put in force, reported without end, or never overcome.
+#[rstest]
+#[case::truncated(truncate)]
+#[case::edited(edit_by_hand)]
+#[case::empty(|_| Bytes::new())]
+fn damaged_values_leave_the_last_good_version(#[case] damage: Damage) {
+    let log = Log::open(3);
+    let mut replica = Replica::open();
+    log.bring(&mut replica, 1, at(10));
+    let head = Event::Head {
+        value: Some(damage(log.head(2))),
+        started: at(20),
+    };
+    assert!(matches!(
+        replica.step(head.clone(), at(20))[..],
+        [Action::Report(_)]
+    ));
+    assert_eq!(replica.step(head, at(21)), vec![]);
+    replica.step(log.head_event(2, at(30)), at(30));
+    let values: Vec<Bytes> = log.entries(2, 2).into_iter().map(damage).collect();
+    let actions = replica.step(Event::Entries { values }, at(31));
+    assert!(matches!(actions[..], [Action::Report(_)]), "{actions:?}");
+    assert_eq!(replica.version(), 1);
+    // A peer that has the version helps; otherwise the store is read again after a pause.
+    replica.step(
+        Event::Peer {
+            peer: "b".to_owned(),
+            version: 3,
+        },
+        at(32),
+    );
+    let later = at(31) + FETCH_TIMEOUT;
+    let actions = replica.step(Event::Tick, later);
+    assert_eq!(
+        actions,
+        [Action::AskPeer {
+            peer: "b".to_owned(),
+            since: 1
+        }]
+    );
+    let mut peer = Replica::open();
+    log.bring(&mut peer, 1, at(1));
+    log.bring(&mut peer, 3, at(2));
+    replica.step(
+        Event::Deltas {
+            deltas: peer.deltas(1),
+        },
+        later,
+    );
+    assert_eq!(**replica.tree(), log.trees[3]);
+}
+
+/// Guards against following a store whose head went back or names another tree.
+#[test]
+fn a_head_that_went_back_is_reported() {
+    let log = Log::open(3);
+    let mut replica = Replica::open();
+    log.bring(&mut replica, 3, at(10));
+    // This read started before the adoption, so that an older head is no fault.
+    assert_eq!(replica.step(log.head_event(2, at(5)), at(20)), vec![]);
+    let actions = replica.step(log.head_event(2, at(21)), at(22));
+    assert!(matches!(actions[..], [Action::Report(_)]), "{actions:?}");
+    let actions = replica.step(
+        Event::Head {
+            value: None,
+            started: at(23),
+        },
+        at(24),
+    );
+    assert!(matches!(actions[..], [Action::Report(_)]), "{actions:?}");
+    assert_eq!(replica.version(), 3);
+}
+
+/// Guards against one lost answer that stops a replica.
+#[test]
+fn a_lost_read_is_made_again() {
+    let log = Log::open(2);
+    let mut replica = Replica::open();
+    log.bring(&mut replica, 1, at(10));
+    let read = Action::ReadEntries { first: 2, last: 2 };
+    let actions = replica.step(log.head_event(2, at(20)), at(20));
+    assert_eq!(actions, std::slice::from_ref(&read));
+    assert_eq!(replica.step(Event::Tick, at(30)), vec![]);
+    replica.step(Event::Tick, at(20) + FETCH_TIMEOUT);
+    let actions = replica.step(Event::Tick, at(20) + FETCH_TIMEOUT * 2);
+    assert_eq!(actions, [read]);
+}
+
+/// Guards against going back, adopting a tree that no version has, or getting stuck, while events are
+/// lost, repeated, reordered and damaged.
+#[test]
+fn replicas_only_move_forward_to_written_versions() {
+    let full = Log::open(400);
+    for seed in 0..RUNS {
+        let mut random = Pcg64::seed_from_u64(seed);
+        let mut replica = Replica::open();
+        let mut peer = Replica::open();
+        let mut events: Vec<Event> = Vec::new();
+        let mut now = at(0);
+        let mut written = 1;
+        for _ in 0..300 {
+            now = now + Duration::from_millis(random.random_range(1..400));
+            written = (written + random.random_range(0..4)).min(400);
+            if random.random_ratio(1, 5) {
+                let version = written.max(peer.version());
+                full.bring(&mut peer, version, now);
+            }
+            events.push(full.head_event(random.random_range(1..=written), now));
+            events.push(Event::Peer {
+                peer: "b".to_owned(),
+                version: peer.version(),
+            });
+            let event = match random.random_range(0..10) {
+                0 => Event::Failed,
+                1 => Event::Tick,
+                _ => events.choose(&mut random).unwrap().clone(),
+            };
+            let before = replica.version();
+            for action in replica.step(event, now) {
+                if let Action::Adopt { version, tree } = &action {
+                    assert!(*version > before, "seed {seed}");
+                    assert_eq!(**tree, full.trees[*version as usize], "seed {seed}");
+                }
+                if let Action::AskPeer { since, .. } = &action {
+                    events.push(Event::Deltas {
+                        deltas: peer.deltas(*since),
+                    });
+                }
+                let answer = match full.answer(&action) {
+                    Some(Event::Entries { mut values }) if random.random_ratio(1, 4) => {
+                        let last = values.pop().unwrap();
+                        values.push(truncate(last));
+                        Some(Event::Entries { values })
+                    }
+                    answer => answer,
+                };
+                events.extend(answer);
+            }
+            assert!(replica.version() >= before, "seed {seed}");
+            let excess = events.len().saturating_sub(30);
+            events.drain(..excess);
+        }
+        // Once the faults end, the newest version is reached.
+        for round in 1..20 {
+            let later = now + FETCH_TIMEOUT * 2 * round;
+            let mut queue = VecDeque::from([full.head_event(400, later)]);
+            while let Some(event) = queue.pop_front() {
+                let actions = replica.step(event, later);
+                queue.extend(actions.iter().filter_map(|action| full.answer(action)));
+            }
+        }
+        assert_eq!(replica.version(), 400, "seed {seed}");
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -133,7 +133,8 @@
                     keys.put(&key, value);
                 }
             }
-            match keys.faults.pop().filter(|_| writes) {
+            let fault = if writes { keys.faults.pop() } else { None };
+            match fault {
                 None => Some((200, keys.txn(&request).to_string())),
                 Some(Fault::LoseRequest) => None,
                 Some(Fault::Refuse) => Some((429, "too many requests".to_owned())),
