--- a/src/connection/admin.rs
+++ b/src/connection/admin.rs
@@ -1,109 +1,66 @@
-//! The operators' interface of a node: metrics, status and a planned stop.
+//! Asks a node for its status, for the operators' client.
 
-use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::Full;
-use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, HeaderValue};
-use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::TcpListener;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::Request;
+use hyper::client::conn::http1;
+use hyper::header::HOST;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
 
-/// The time within which the head of a request must arrive.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+use crate::version::acceptance::Status;
 
-/// What the node answers to operators.
-pub trait Handler: Send + Sync + 'static {
-    /// Renders the metrics in the Prometheus text format.
-    fn metrics(&self) -> String;
+/// Longest time from connecting to having the whole status.
+pub const STATUS_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Longest status that is read; a cell has at most 16 members.
+const STATUS_LIMIT: usize = 1 << 20;
 
-    /// Renders the status as JSON.
-    fn status(&self) -> impl Future<Output = String> + Send;
+/// Why a node gave no status.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("the node at {address} gave no status: {reason}")]
+pub struct Error {
+    /// The node's admin address.
+    pub address: SocketAddr,
+    /// What went wrong.
+    pub reason: String,
 }
 
-/// The running server; it ends when the handle is dropped.
-#[derive(Debug)]
-pub struct Server {
-    address: SocketAddr,
-    task: tokio::task::JoinHandle<()>,
+/// Reads the status of the node at the admin address.
+pub async fn status(address: SocketAddr) -> Result<Status, Error> {
+    let refuse = |reason: String| Error { address, reason };
+    timeout(STATUS_TIMEOUT, fetch(address))
+        .await
+        .unwrap_or_else(|_| Err("no answer in time".to_owned()))
+        .map_err(refuse)
 }
 
-impl Server {
-    /// Starts to accept operators' tools.
-    pub fn spawn<H>(listener: TcpListener, handler: Arc<H>) -> std::io::Result<Self>
-    where
-        H: Handler,
-    {
-        let address = listener.local_addr()?;
-        let task = tokio::spawn(accept(listener, handler));
-        Ok(Self { address, task })
-    }
-
-    /// Returns the address of the interface.
-    pub fn address(&self) -> SocketAddr {
-        self.address
+async fn fetch(address: SocketAddr) -> Result<Status, String> {
+    let stream = TcpStream::connect(address).await.map_err(text)?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(text)?;
+    // The task ends when the sender is dropped.
+    tokio::spawn(connection);
+    let request = Request::get("/admin/status")
+        .header(HOST, address.to_string())
+        .body(Empty::<Bytes>::new())
+        .expect("the path is a constant");
+    let response = sender.send_request(request).await.map_err(text)?;
+    if !response.status().is_success() {
+        return Err(format!("status {}", response.status()));
     }
+    let body = Limited::new(response.into_body(), STATUS_LIMIT)
+        .collect()
+        .await
+        .map_err(text)?;
+    serde_json::from_slice(&body.to_bytes()).map_err(text)
 }
 
-impl Drop for Server {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
-async fn accept<H>(listener: TcpListener, handler: Arc<H>)
+fn text<F>(fault: F) -> String
 where
-    H: Handler,
+    F: std::fmt::Display,
 {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(Duration::from_millis(10)).await;
-            continue;
-        };
-        let handler = Arc::clone(&handler);
-        let service = service_fn(move |request| {
-            let handler = Arc::clone(&handler);
-            async move { Ok::<_, Infallible>(serve(request, &*handler).await) }
-        });
-        let connection = hyper::server::conn::http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(HEAD_TIMEOUT)
-            .serve_connection(TokioIo::new(stream), service);
-        tokio::spawn(async move {
-            let _ = connection.await;
-        });
-    }
-}
-
-async fn serve<H>(request: Request<Incoming>, handler: &H) -> Response<Full<Bytes>>
-where
-    H: Handler,
-{
-    match (request.method(), request.uri().path()) {
-        (&Method::GET, "/metrics") => {
-            let kind = "application/openmetrics-text; version=1.0.0; charset=utf-8";
-            respond(StatusCode::OK, kind, handler.metrics())
-        }
-        (&Method::GET, "/admin/status") => {
-            respond(StatusCode::OK, "application/json", handler.status().await)
-        }
-        _ => {
-            let text = "unknown path; use GET /metrics or GET /admin/status\n".to_owned();
-            respond(StatusCode::NOT_FOUND, "text/plain", text)
-        }
-    }
-}
-
-fn respond(status: StatusCode, kind: &'static str, body: String) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(body.into()));
-    *response.status_mut() = status;
-    response
-        .headers_mut()
-        .insert(CONTENT_TYPE, HeaderValue::from_static(kind));
-    response
+    fault.to_string()
 }
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -3,6 +3,7 @@
 pub mod admin;
 pub mod caller;
 pub mod members;
+pub mod operator;
 pub mod peer;
 pub mod settings;
 pub mod store;
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -24,7 +24,7 @@
 use super::metrics::Metrics;
 use super::view::View;
 use crate::connection::peer::{self, Peers};
-use crate::connection::{admin, caller};
+use crate::connection::{caller, operator};
 use crate::request::answer::{Addresses, Refusal, conclude};
 use crate::request::ask::Ask;
 use crate::request::choice;
@@ -53,7 +53,7 @@
     shared: Arc<Shared>,
     callers: caller::Server,
     peers: peer::Server,
-    admin: admin::Server,
+    admin: operator::Server,
 }
 
 /// What all requests of a node share.
@@ -92,7 +92,7 @@
         Ok(Self {
             callers: caller::Server::spawn(callers, Arc::clone(&entry))?,
             peers: peer::serve(peers, Arc::clone(&entry))?,
-            admin: admin::Server::spawn(admin, entry)?,
+            admin: operator::Server::spawn(admin, entry)?,
             shared,
         })
     }
@@ -495,7 +495,7 @@
     }
 }
 
-impl admin::Handler for Entry {
+impl operator::Handler for Entry {
     fn metrics(&self) -> String {
         self.metrics.render()
     }
--- a/src/version/tree.rs
+++ b/src/version/tree.rs
@@ -426,6 +426,11 @@
         (!self.sections.contains_key(&path)).then_some(path)
     }
 
+    /// Returns the value that the section sets itself.
+    pub fn own_value(&self, place: Place<'_>, key: &str) -> Option<&Value> {
+        self.sections.get(&place.to_string())?.get(key)
+    }
+
     /// Tells whether the place is a declared section.
     pub fn has(&self, place: Place<'_>) -> bool {
         self.sections.contains_key(&place.to_string())
