Test the target stand-ins and keep the ports of targets that are down

The first answer of a crossing pair waits until its deadline instead of 2 s, because a stalled machine could pass 2 s.

--- a/standins/src/target/port.rs
+++ b/standins/src/target/port.rs
@@ -13,7 +13,7 @@
 pub(super) struct Port {
     pub address: SocketAddr,
     /// Bound but never listening, so that the kernel refuses connections to the port while the target
-    /// is down and gives it to nobody else.
+    /// is down, and does not give it to a socket that asks for a free port.
     _reservation: TcpSocket,
 }
 
--- a/standins/src/target/serve.rs
+++ b/standins/src/target/serve.rs
@@ -25,9 +25,6 @@
 /// of a connection and the start of its replacement travel apart and can arrive in either order.
 const REPLACEMENT: Duration = Duration::from_millis(20);
 
-/// How long an answer waits for another one to be swapped with.
-const CROSSING: Duration = Duration::from_secs(2);
-
 /// The tasks of a process that belong to one target.
 #[derive(Debug, Clone)]
 pub(super) struct Door {
@@ -157,13 +154,14 @@
             }
             Admission::Accepted { entry, run, cancel } => {
                 let (report, reported) = oneshot::channel();
+                let deadline = arrived + search.deadline;
                 let work = Work {
                     instance: Arc::clone(&instance),
                     search: search.clone(),
                     entry,
                     run: Arc::clone(&run),
                     cancel,
-                    deadline: arrived + search.deadline,
+                    deadline,
                     body,
                 };
                 let stop = self.stop.clone();
@@ -176,7 +174,7 @@
                 });
                 let generation = run.generation;
                 match reported.await {
-                    Ok(Outcome::Answer(answer)) => give(&instance, answer).await,
+                    Ok(Outcome::Answer(answer)) => give(&instance, answer, deadline).await,
                     Ok(Outcome::Refusal(status, error, started)) => {
                         answered(&instance, entry, status);
                         Ok(instance.refuse(&search, generation, status, error, started))
@@ -285,9 +283,9 @@
 }
 
 /// Sends an answer, or loses or swaps it if that is set.
-async fn give(instance: &Instance, answer: Answer) -> Reply {
+async fn give(instance: &Instance, answer: Answer, deadline: Instant) -> Reply {
     let entry = answer.entry;
-    let (answer, crossed) = cross(instance, answer).await;
+    let (answer, crossed) = cross(instance, answer, deadline).await;
     {
         let mut state = instance.state();
         if state.faults.lose_answers > 0 {
@@ -303,7 +301,9 @@
 }
 
 /// Swaps an answer with that of a concurrent request while crossings are set.
-async fn cross(instance: &Instance, answer: Answer) -> (Answer, bool) {
+///
+/// The first answer of a pair waits for the second one, at most until its deadline.
+async fn cross(instance: &Instance, answer: Answer, deadline: Instant) -> (Answer, bool) {
     let (other, mut swapped) = oneshot::channel();
     {
         let mut state = instance.state();
@@ -319,7 +319,7 @@
         let answer = answer.clone();
         state.parked = Some(Parked { answer, other });
     }
-    if let Ok(Ok(theirs)) = tokio::time::timeout(CROSSING, &mut swapped).await {
+    if let Ok(Ok(theirs)) = tokio::time::timeout_at(deadline, &mut swapped).await {
         return (theirs, true);
     }
     // An answer that was handed over at the last moment must not be given twice.
--- /dev/null
+++ b/standins/tests/faults.rs
@@ -0,0 +1,377 @@
+//! Faults of targets and what the verdict says about the load that they got.
+
+mod support;
+
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rstest::rstest;
+use serde_json::Value;
+use standins::http::{call, call_json};
+use standins::members;
+use standins::target::spec::{Overrun, Spec};
+use standins::target::{self, Config};
+use support::target::{
+    FOREVER_MS, LONG, Search, command, header, open, search, spec, time, wait_arrived, wait_started,
+};
+use tokio::io::AsyncReadExt;
+use tokio::net::{TcpSocket, TcpStream};
+
+async fn state(address: SocketAddr) -> String {
+    let status = call_json(address, "GET", "/status", &Value::Null).await;
+    let status = status.expect("the status");
+    status["state"].as_str().expect("a state").to_owned()
+}
+
+/// Guards against load beyond the concurrency of a cold target that is not counted.
+#[rstest]
+#[tokio::test]
+async fn counts_too_many_requests_at_once_while_cold() {
+    let mut only = spec("a");
+    only.slots = 3;
+    only.cold_answers = 10;
+    only.time = time(FOREVER_MS);
+    let targets = open(vec![only]).await;
+    let address = targets.address("a").expect("a target");
+    let _first = Search::new("r1").spawn(address);
+    wait_started(&targets, 1).await;
+    assert_eq!(targets.verdict().expect("a verdict").cold_overruns, 0);
+    let _second = Search::new("r2").spawn(address);
+    wait_started(&targets, 2).await;
+    let verdict = targets.verdict().expect("a verdict");
+    assert_eq!(verdict.cold_overruns, 1);
+    assert_eq!(
+        verdict.cold_overruns_unannounced, 0,
+        "a start is announced by the generation"
+    );
+    let cold = verdict.cold["a"];
+    assert_eq!(
+        (cold.highest_concurrency, cold.concurrency, cold.overruns),
+        (2, 1, 1)
+    );
+}
+
+/// Guards against a rate beyond what a cold target bears that is not counted, and against an overrun
+/// without an effect. The rate is so low that only a second without requests could hide it.
+#[rstest]
+#[tokio::test]
+async fn fails_after_too_high_a_rate_while_cold() {
+    let mut only = spec("a");
+    only.cold_answers = 100;
+    only.cold_rate = 1;
+    only.cold_overrun = Overrun::Fail { for_ms: 3_600_000 };
+    let targets = open(vec![only]).await;
+    let address = targets.address("a").expect("a target");
+    let mut statuses = Vec::new();
+    while statuses.last() != Some(&500) {
+        statuses.push(search(address, "r").await.status().as_u16());
+        assert!(
+            statuses.len() < 100,
+            "two of the requests come within a second"
+        );
+    }
+    assert_eq!(search(address, "r").await.status(), 500);
+    let journal = targets.journal();
+    let refused: Vec<_> = journal.iter().filter(|entry| entry.status == 500).collect();
+    assert!(refused[0].overrun && refused[0].rate == 2);
+    assert!(refused.iter().all(|entry| !entry.started));
+
+    command(&targets, "a", |command| command.restart = true).await;
+    assert_eq!(
+        search(address, "r").await.status(),
+        200,
+        "a new generation is not strained"
+    );
+}
+
+/// Guards against targets that never get warm, and against a restart that nobody could notice.
+#[rstest]
+#[tokio::test]
+async fn gets_warm_by_answers_and_cold_by_a_restart() {
+    let mut only = spec("a");
+    only.cold_answers = 2;
+    let targets = open(vec![only]).await;
+    let address = targets.address("a").expect("a target");
+    let first = search(address, "r1").await;
+    assert_eq!(state(address).await, "cold");
+    search(address, "r2").await;
+    assert_eq!(state(address).await, "warm");
+
+    command(&targets, "a", |command| command.restart = true).await;
+    assert_eq!(state(address).await, "cold");
+    let after = search(address, "r3").await;
+    let generation = |answer| {
+        header(answer, "Generation")
+            .parse::<u64>()
+            .expect("a number")
+    };
+    assert!(generation(&after) > generation(&first));
+
+    search(address, "r4").await;
+    assert_eq!(state(address).await, "warm");
+    command(&targets, "a", |command| command.cold = true).await;
+    let silent = search(address, "r5").await;
+    assert_eq!(
+        generation(&silent),
+        generation(&after),
+        "it turns cold without a sign"
+    );
+    let journal = targets.journal();
+    assert!(journal[4].cold && journal[4].unannounced);
+    assert!(!journal[2].unannounced);
+}
+
+/// Guards against a restart that leaves work or connections of the earlier run behind.
+#[rstest]
+#[tokio::test]
+async fn a_restart_cuts_connections_and_ends_work() {
+    let mut only = spec("a");
+    only.slots = 1;
+    only.connections = 1;
+    only.time = time(FOREVER_MS);
+    let targets = open(vec![only]).await;
+    let address = targets.address("a").expect("a target");
+    let cut = Search::new("cut").spawn(address);
+    wait_started(&targets, 1).await;
+    command(&targets, "a", |command| command.restart = true).await;
+    cut.await.expect("a task").expect_err("no answer");
+    let _next = Search::new("next").spawn(address);
+    wait_started(&targets, 2).await;
+    let verdict = targets.verdict().expect("a verdict");
+    assert_eq!(
+        (
+            verdict.finished,
+            verdict.answered,
+            verdict.connection_overruns
+        ),
+        (0, 0, 0)
+    );
+}
+
+/// Guards against crossed answers that are not whole, headers included.
+#[rstest]
+#[tokio::test]
+async fn crosses_the_answers_of_concurrent_requests() {
+    let mut only = spec("a");
+    only.versions.push(support::target::holding(2));
+    let targets = open(vec![only]).await;
+    let address = targets.address("a").expect("a target");
+    command(&targets, "a", |command| command.cross_answers = Some(1)).await;
+    let one = Search::new("one");
+    let mut two = Search::new("two");
+    two.version = 2;
+    let (one, two) = tokio::join!(one.send(address), two.send(address));
+    let (one, two) = (one.expect("an answer"), two.expect("an answer"));
+    let identity = |answer| {
+        (
+            header(answer, "Request-Id").to_owned(),
+            header(answer, "Index-Version").to_owned(),
+        )
+    };
+    assert_eq!(identity(&one), ("two".to_owned(), "2".to_owned()));
+    assert_eq!(identity(&two), ("one".to_owned(), "1".to_owned()));
+    assert_ne!(one.body(), two.body());
+    assert!(
+        targets
+            .journal()
+            .iter()
+            .all(|entry| entry.crossed && entry.answered)
+    );
+    assert_eq!(
+        header(&search(address, "three").await, "Request-Id"),
+        "three"
+    );
+}
+
+/// Guards against a request that waits forever for an answer to cross with.
+#[rstest]
+#[tokio::test]
+async fn gives_its_own_answer_when_nothing_crosses() {
+    let targets = open(vec![spec("a")]).await;
+    command(&targets, "a", |command| command.cross_answers = Some(1)).await;
+    let mut alone = Search::new("alone");
+    alone.deadline_ms = 2_000;
+    let answer = alone.send(targets.address("a").expect("a target")).await;
+    let answer = answer.expect("an answer");
+    assert_eq!(header(&answer, "Request-Id"), "alone");
+    assert!(!targets.journal()[0].crossed);
+}
+
+/// Guards against a lost answer whose work did not run, and against losing more than was asked.
+#[rstest]
+#[tokio::test]
+async fn loses_answers_after_the_work() {
+    let targets = open(vec![spec("a")]).await;
+    let address = targets.address("a").expect("a target");
+    command(&targets, "a", |command| command.lose_answers = Some(1)).await;
+    Search::new("lost")
+        .send(address)
+        .await
+        .expect_err("no answer");
+    assert_eq!(search(address, "next").await.status(), 200);
+    let journal = targets.journal();
+    let flags = |number: usize| (journal[number].finished, journal[number].answered);
+    assert_eq!((flags(0), flags(1)), ((true, false), (true, true)));
+}
+
+/// Guards against connections beyond the limit that are served or not counted.
+#[rstest]
+#[tokio::test]
+async fn closes_connections_beyond_the_limit() {
+    let mut only = spec("a");
+    only.connections = 2;
+    only.time = time(FOREVER_MS);
+    let targets = open(vec![only]).await;
+    let address = targets.address("a").expect("a target");
+    let held = [
+        Search::new("r1").spawn(address),
+        Search::new("r2").spawn(address),
+    ];
+    wait_started(&targets, 2).await;
+    let mut beyond = TcpStream::connect(address).await.expect("accepted");
+    let closed = tokio::time::timeout(LONG, beyond.read_u8()).await;
+    closed.expect("it is closed").expect_err("without a byte");
+    assert_eq!(targets.verdict().expect("a verdict").connection_overruns, 1);
+    for request in held {
+        request.abort();
+    }
+}
+
+/// Guards against a hanging target that answers or that starts work.
+#[rstest]
+#[tokio::test]
+async fn hangs_without_an_answer() {
+    let targets = open(vec![spec("a")]).await;
+    let address = targets.address("a").expect("a target");
+    command(&targets, "a", |command| command.hang = Some(true)).await;
+    let hung = Search::new("hung").spawn(address);
+    wait_arrived(&targets, 1).await;
+    assert!(!targets.journal()[0].started);
+    command(&targets, "a", |command| command.restore = true).await;
+    hung.await
+        .expect("a task")
+        .expect_err("cut without an answer");
+    assert_eq!(search(address, "next").await.status(), 200);
+}
+
+/// Guards against a target that loses its port while it is down, or that is not quite down.
+#[rstest]
+#[tokio::test]
+async fn refuses_connections_while_down() {
+    let targets = open(vec![spec("a")]).await;
+    let address = targets.address("a").expect("a target");
+    let mut idle = TcpStream::connect(address).await.expect("connected");
+    for _ in 0..3 {
+        command(&targets, "a", |command| command.down = Some(true)).await;
+        let refused = TcpStream::connect(address).await.expect_err("refused");
+        assert_eq!(refused.kind(), ErrorKind::ConnectionRefused);
+        let other = TcpSocket::new_v4().expect("a socket");
+        other.bind(address).expect_err("the port stays reserved");
+        command(&targets, "a", |command| command.restore = true).await;
+        assert_eq!(search(address, "r").await.status(), 200);
+    }
+    let ended = tokio::time::timeout(LONG, idle.read_u8()).await;
+    ended.expect("it is cut").expect_err("without a byte");
+}
+
+/// Guards against a status that is true when a test needs a wrong one.
+#[rstest]
+#[tokio::test]
+async fn shows_a_misleading_status() {
+    let mut only = spec("a");
+    only.cold_answers = 10;
+    let targets = open(vec![only]).await;
+    let address = targets.address("a").expect("a target");
+    assert_eq!(state(address).await, "cold");
+    command(&targets, "a", |command| {
+        command.misleading_status = Some(true);
+    })
+    .await;
+    assert_eq!(state(address).await, "warm");
+    assert!(targets.summaries()[0].cold);
+}
+
+/// Guards against work after a drain that the verdict does not show, in the list or in its counts.
+#[rstest]
+#[tokio::test]
+async fn reports_drains_to_the_list_and_in_the_verdict() {
+    let list = members::bind(members::Config::default())
+        .await
+        .expect("a free port");
+    let mut other = spec("b");
+    other.data_centre = "dc2".to_owned();
+    let targets = vec![spec("a"), other];
+    let mut config = Config::new(Spec { seed: 1, targets });
+    config.members = Some(list.address());
+    let targets = target::bind(config).await.expect("free ports");
+    let states = async || {
+        let listing = call_json(list.address(), "GET", "/instances", &Value::Null).await;
+        let listing: members::Listing =
+            serde_json::from_value(listing.expect("the list")).expect("a listing");
+        let states = listing.instances.into_iter();
+        states
+            .map(|instance| (instance.name, instance.state))
+            .collect::<Vec<_>>()
+    };
+    let live = |name: &str| (name.to_owned(), members::State::Live);
+    let leaving = |name: &str| (name.to_owned(), members::State::Leaving);
+    let wait_for = async |expected: &[_]| {
+        let listed = async {
+            while states().await != expected {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        tokio::time::timeout(LONG, listed)
+            .await
+            .expect("the list shows it");
+    };
+    assert_eq!(states().await, [live("a"), live("b")]);
+
+    let drain = serde_json::json!({ "data_centre": "dc1", "drain": true });
+    call_json(targets.admin(), "POST", "/admin/target", &drain)
+        .await
+        .expect("accepted");
+    wait_for(&[leaving("a"), live("b")]).await;
+    let a = targets.address("a").expect("a target");
+    assert_eq!(search(a, "r1").await.status(), 503);
+    assert_eq!(state(a).await, "draining");
+
+    command(&targets, "b", |command| command.leave = Some(true)).await;
+    wait_for(&[leaving("a"), leaving("b")]).await;
+    let b = targets.address("b").expect("a target");
+    assert_eq!(search(b, "r2").await.status(), 200);
+    let verdict = targets.verdict().expect("a verdict");
+    assert_eq!(
+        (
+            verdict.arrived_after_drain.count,
+            verdict.started_after_drain.count
+        ),
+        (2, 1)
+    );
+
+    command(&targets, "a", |command| command.restore = true).await;
+    wait_for(&[live("a"), leaving("b")]).await;
+    assert_eq!(search(a, "r3").await.status(), 200);
+    let verdict = targets.verdict().expect("a verdict");
+    assert_eq!(
+        verdict.arrived_after_drain.count, 2,
+        "a restored target takes work"
+    );
+    assert_eq!(verdict.data_centres["dc1"].started, 1);
+}
+
+/// Guards against commands with a typing error that silently do nothing.
+#[rstest]
+#[case(r#"{ "name": "unknown", "drain": true }"#)]
+#[case(r#"{ "drain": true }"#)]
+#[case(r#"{ "name": "a", "data_centre": "dc1" }"#)]
+#[case(r#"{ "name": "a", "drained": true }"#)]
+#[case(r#"{ "name": "a", "slow_factor": 0 }"#)]
+#[case(r#"{ "name": "a", "versions": [{ "version": 1, "shard": 2, "shards": 2 }] }"#)]
+#[tokio::test]
+async fn refuses_wrong_commands(#[case] body: &'static str) {
+    let targets = open(vec![spec("a")]).await;
+    let answer = call(targets.admin(), "POST", "/admin/target", &[], body).await;
+    assert!(answer.expect("an answer").status().is_client_error());
+}
--- a/standins/tests/support/mod.rs
+++ b/standins/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test binary uses a part of the helpers")]
 
+pub mod target;
+
 use std::net::SocketAddr;
 
 use base64::Engine;
--- /dev/null
+++ b/standins/tests/support/target.rs
@@ -0,0 +1,166 @@
+//! Helpers for the tests of the targets.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::Response;
+use serde_json::Value;
+use standins::http::call;
+use standins::target::spec::{Holding, Overrun, Spec, Target, Time};
+use standins::target::{self, Command, Config, Entry, Targets};
+
+/// Bounds the wait for a condition.
+pub const LONG: Duration = Duration::from_mins(1);
+
+/// A service time that no test waits for.
+pub const FOREVER_MS: f64 = 3_600_000.0;
+
+/// The query of all searches.
+pub const QUERY: &str = "monogram";
+
+/// Returns a target that is warm, quick and holds shard 0 of version 1.
+pub fn spec(name: &str) -> Target {
+    Target {
+        name: name.to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 0)),
+        data_centre: "dc1".to_owned(),
+        index: "proof-viewing".to_owned(),
+        service: "s00".to_owned(),
+        replica: 0,
+        slots: 2,
+        connections: 25,
+        connect_ms: 0,
+        time: time(1.0),
+        queue: 0,
+        retry_after_ms: 70,
+        cold_answers: 0,
+        cold_concurrency: 1,
+        cold_rate: 1_000,
+        cold_factor: 1.0,
+        cold_overrun: Overrun::default(),
+        versions: vec![holding(1)],
+    }
+}
+
+/// Returns a constant service time.
+pub fn time(median_ms: f64) -> Time {
+    Time {
+        median_ms,
+        sigma: 0.0,
+        ..Time::default()
+    }
+}
+
+/// Returns shard 0 of 2 of a version.
+pub const fn holding(version: u64) -> Holding {
+    Holding {
+        version,
+        shard: 0,
+        shards: 2,
+    }
+}
+
+/// Starts targets.
+pub async fn open(targets: Vec<Target>) -> Targets {
+    let spec = Spec { seed: 1, targets };
+    target::bind(Config::new(spec)).await.expect("free ports")
+}
+
+/// A request to a target.
+#[derive(Debug, Clone)]
+pub struct Search {
+    pub id: String,
+    pub attempt: u32,
+    pub version: u64,
+    pub shard: u32,
+    pub deadline_ms: u64,
+    pub idempotent: bool,
+}
+
+impl Search {
+    /// Returns an idempotent request for shard 0 of version 1 without a near deadline.
+    pub fn new(id: &str) -> Self {
+        Self {
+            id: id.to_owned(),
+            attempt: 0,
+            version: 1,
+            shard: 0,
+            deadline_ms: 600_000,
+            idempotent: true,
+        }
+    }
+
+    /// Sends the request over a new connection.
+    pub async fn send(&self, address: SocketAddr) -> anyhow::Result<Response<Bytes>> {
+        let attempt = self.attempt.to_string();
+        let version = self.version.to_string();
+        let shard = self.shard.to_string();
+        let deadline = self.deadline_ms.to_string();
+        let headers = [
+            ("Request-Id", self.id.as_str()),
+            ("Attempt", &attempt),
+            ("Index-Version", &version),
+            ("Shard", &shard),
+            ("Deadline-Ms", &deadline),
+            ("Idempotent", if self.idempotent { "true" } else { "false" }),
+        ];
+        call(address, "POST", "/search", &headers, QUERY).await
+    }
+
+    /// Sends the request in a task of its own.
+    pub fn spawn(
+        self,
+        address: SocketAddr,
+    ) -> tokio::task::JoinHandle<anyhow::Result<Response<Bytes>>> {
+        tokio::spawn(async move { self.send(address).await })
+    }
+}
+
+/// Sends a search with an id and returns its answer.
+pub async fn search(address: SocketAddr, id: &str) -> Response<Bytes> {
+    Search::new(id).send(address).await.expect("an answer")
+}
+
+/// Sends a command for one target that must succeed.
+pub async fn command(targets: &Targets, name: &str, change: impl FnOnce(&mut Command)) {
+    let mut command = Command::target(name);
+    change(&mut command);
+    targets.command(command).await.expect("a valid command");
+}
+
+/// Waits until the journal meets a condition.
+pub async fn wait(targets: &Targets, condition: impl Fn(&[Entry]) -> bool) {
+    let met = async {
+        while !condition(&targets.journal()) {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    };
+    tokio::time::timeout(LONG, met)
+        .await
+        .expect("the condition is met");
+}
+
+/// Waits until a number of requests have arrived.
+pub async fn wait_arrived(targets: &Targets, count: usize) {
+    wait(targets, |entries| entries.len() >= count).await;
+}
+
+/// Waits until a number of requests have started.
+pub async fn wait_started(targets: &Targets, count: usize) {
+    wait(targets, |entries| {
+        entries.iter().filter(|entry| entry.started).count() >= count
+    })
+    .await;
+}
+
+/// Returns a header of an answer as text.
+pub fn header<'a>(answer: &'a Response<Bytes>, name: &str) -> &'a str {
+    let value = answer.headers().get(name).expect("the header is present");
+    value.to_str().expect("text")
+}
+
+/// Returns the body of an answer as JSON.
+pub fn json(answer: &Response<Bytes>) -> Value {
+    serde_json::from_slice(answer.body()).expect("JSON")
+}
