--- a/standins/src/bin/standin-targets.rs
+++ b/standins/src/bin/standin-targets.rs
@@ -6,6 +6,7 @@
 
 use anyhow::Context;
 use clap::Parser;
+use standins::spec::{Builder, User};
 use standins::target::spec::Spec;
 use standins::target::{self, Config};
 
@@ -16,8 +17,14 @@
 #[derive(Debug, Parser)]
 struct Arguments {
     /// The YAML file that describes the targets.
+    #[arg(long, required_unless_present = "user", conflicts_with = "user")]
+    spec: Option<PathBuf>,
+    /// Serves the targets of a user, magnolia or tamar, in place of a spec file.
     #[arg(long)]
-    spec: PathBuf,
+    user: Option<User>,
+    /// Prints the spec as YAML and exits.
+    #[arg(long)]
+    print_spec: bool,
     /// Where the admin interface listens; port 0 takes a free port.
     #[arg(long, default_value = "127.0.0.1:0")]
     admin: SocketAddr,
@@ -32,10 +39,11 @@
 #[tokio::main]
 async fn main() -> anyhow::Result<()> {
     let arguments = Arguments::parse();
-    let path = &arguments.spec;
-    let text =
-        std::fs::read_to_string(path).with_context(|| format!("cannot read {}", path.display()))?;
-    let spec = Spec::parse(&text).with_context(|| path.display().to_string())?;
+    let spec = read(&arguments)?;
+    if arguments.print_spec {
+        println!("{}", spec.to_yaml()?);
+        return Ok(());
+    }
     let mut config = Config::new(spec);
     config.admin = arguments.admin;
     config.members = arguments.members;
@@ -49,3 +57,13 @@
     println!("listening on {}", targets.admin());
     pending().await
 }
+
+fn read(arguments: &Arguments) -> anyhow::Result<Spec> {
+    if let Some(user) = arguments.user {
+        return Ok(Builder::new(user).build());
+    }
+    let path = arguments.spec.as_ref().context("no spec is given")?;
+    let text =
+        std::fs::read_to_string(path).with_context(|| format!("cannot read {}", path.display()))?;
+    Spec::parse(&text).with_context(|| path.display().to_string())
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -5,5 +5,7 @@
 
 pub mod http;
 pub mod members;
+pub mod process;
+pub mod spec;
 pub mod store;
 pub mod target;
--- /dev/null
+++ b/standins/src/spec.rs
@@ -0,0 +1,216 @@
+//! Specs for targets in the sizes of the two users in `docs/design.md`, section 1.
+
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+use anyhow::bail;
+
+use crate::target::spec::{Holding, Overrun, Spec, Target, Time};
+
+/// A user of the system.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum User {
+    /// Magnolia Etchworks.
+    Magnolia,
+    /// Tamar Crest Stitchworks Authority.
+    Tamar,
+}
+
+impl FromStr for User {
+    type Err = anyhow::Error;
+
+    fn from_str(name: &str) -> anyhow::Result<Self> {
+        match name {
+            "magnolia" => Ok(Self::Magnolia),
+            "tamar" => Ok(Self::Tamar),
+            _ => bail!("the users are magnolia and tamar, not {name}"),
+        }
+    }
+}
+
+/// One row of the table of sizes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Index {
+    /// The name of the index.
+    pub name: &'static str,
+    /// How many services it has; each holds one shard.
+    pub services: u32,
+    /// How many targets each service has.
+    pub replicas: u32,
+    /// How many requests a target runs at once.
+    pub slots: u32,
+    /// How many connections a target accepts.
+    pub connections: u32,
+    /// How long a new connection takes, in milliseconds.
+    pub connect_ms: u64,
+}
+
+const fn index(
+    name: &'static str,
+    (services, replicas): (u32, u32),
+    (slots, connections, connect_ms): (u32, u32, u64),
+) -> Index {
+    Index {
+        name,
+        services,
+        replicas,
+        slots,
+        connections,
+        connect_ms,
+    }
+}
+
+/// The indexes of Magnolia Etchworks.
+pub const MAGNOLIA: [Index; 4] = [
+    index("proof-viewing", (20, 2), (2, 25, 5)),
+    index("dealer-catalog", (30, 2), (2, 25, 5)),
+    index("order-desk", (1, 7), (4, 110, 1)),
+    index("shipment-tracking", (1, 3), (4, 110, 1)),
+];
+
+/// The indexes of Tamar Crest Stitchworks Authority.
+pub const TAMAR: [Index; 4] = [
+    index("design-search", (20, 2), (3, 30, 5)),
+    index("invoicing", (30, 2), (3, 30, 5)),
+    index("parent-portal", (1, 13), (4, 45, 1)),
+    index("stock-ledger", (1, 6), (4, 45, 1)),
+];
+
+/// Builds a spec; every setting has a default.
+#[derive(Debug, Clone)]
+pub struct Builder {
+    indexes: Vec<Index>,
+    data_centres: Vec<String>,
+    seed: u64,
+    version: u64,
+    time: Time,
+    cold: (u64, u32, u32),
+    cold_factor: f64,
+    cold_overrun: Overrun,
+}
+
+impl Builder {
+    /// Returns a builder for all indexes of a user in the data centres dc1 to dc3.
+    pub fn new(user: User) -> Self {
+        let indexes = match user {
+            User::Magnolia => MAGNOLIA,
+            User::Tamar => TAMAR,
+        };
+        Self::of(indexes.to_vec())
+    }
+
+    /// Returns a builder for the given indexes in the data centres dc1 to dc3.
+    pub fn of(indexes: Vec<Index>) -> Self {
+        Self {
+            indexes,
+            data_centres: ["dc1", "dc2", "dc3"].map(str::to_owned).to_vec(),
+            seed: 1,
+            version: 1,
+            time: Time {
+                straggler_probability: 0.01,
+                ..Time::default()
+            },
+            cold: (50, 1, 50),
+            cold_factor: 1.0,
+            cold_overrun: Overrun::default(),
+        }
+    }
+
+    /// Sets the data centres.
+    pub fn data_centres(mut self, names: &[&str]) -> Self {
+        self.data_centres = names.iter().map(|name| (*name).to_owned()).collect();
+        self
+    }
+
+    /// Sets the seed of the service times.
+    pub fn seed(mut self, seed: u64) -> Self {
+        self.seed = seed;
+        self
+    }
+
+    /// Sets the version that all targets hold at the start.
+    pub fn version(mut self, version: u64) -> Self {
+        self.version = version;
+        self
+    }
+
+    /// Sets the service times.
+    pub fn time(mut self, time: Time) -> Self {
+        self.time = time;
+        self
+    }
+
+    /// Sets how many answers make a target warm, and the load that it bears until then: requests at
+    /// once and requests per second.
+    pub fn cold(mut self, answers: u64, concurrency: u32, rate: u32) -> Self {
+        self.cold = (answers, concurrency, rate);
+        self
+    }
+
+    /// Sets how many times as long requests run at cold targets.
+    pub fn cold_factor(mut self, factor: f64) -> Self {
+        self.cold_factor = factor;
+        self
+    }
+
+    /// Sets what happens when a cold target gets more load than it bears.
+    pub fn cold_overrun(mut self, overrun: Overrun) -> Self {
+        self.cold_overrun = overrun;
+        self
+    }
+
+    /// Limits each index to a number of services and each service to a number of targets.
+    pub fn at_most(mut self, services: u32, replicas: u32) -> Self {
+        for index in &mut self.indexes {
+            index.services = index.services.min(services);
+            index.replicas = index.replicas.min(replicas);
+        }
+        self
+    }
+
+    /// Builds the spec. The replicas of a service lie in different data centres, as far as there are
+    /// enough of them, and successive services begin in successive data centres.
+    pub fn build(&self) -> Spec {
+        let mut targets = Vec::new();
+        for index in &self.indexes {
+            for service in 0..index.services {
+                for replica in 0..index.replicas {
+                    targets.push(self.target(index, service, replica));
+                }
+            }
+        }
+        Spec {
+            seed: self.seed,
+            targets,
+        }
+    }
+
+    fn target(&self, index: &Index, service: u32, replica: u32) -> Target {
+        let place = (service + replica) as usize % self.data_centres.len();
+        let (cold_answers, cold_concurrency, cold_rate) = self.cold;
+        Target {
+            name: format!("{}-s{service:02}-{replica}", index.name),
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            data_centre: self.data_centres[place].clone(),
+            index: index.name.to_owned(),
+            service: format!("s{service:02}"),
+            replica,
+            slots: index.slots,
+            connections: index.connections,
+            connect_ms: index.connect_ms,
+            time: self.time,
+            queue: index.slots,
+            retry_after_ms: 50,
+            cold_answers,
+            cold_concurrency,
+            cold_rate,
+            cold_factor: self.cold_factor,
+            cold_overrun: self.cold_overrun,
+            versions: vec![Holding {
+                version: self.version,
+                shard: service,
+                shards: index.services,
+            }],
+        }
+    }
+}
