--- /dev/null
+++ b/harness/src/load.rs
@@ -0,0 +1,171 @@
+//! Open-loop load of many callers, and the record of what each request came to.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use redwinggrade::client::{Caller, Outcome, Query};
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+/// Requests of one query kind.
+#[derive(Debug, Clone, Copy)]
+pub struct Kind {
+    /// The name of the index.
+    pub index: &'static str,
+    /// The name of the query kind.
+    pub kind: &'static str,
+    /// Requests per second, over all callers.
+    pub rate: f64,
+    /// The deadline that callers send.
+    pub deadline: Duration,
+    /// Whether a request may run more than once.
+    pub idempotent: bool,
+    /// Whether callers send a routing key.
+    pub keyed: bool,
+}
+
+const fn kind(
+    index: &'static str,
+    kind: &'static str,
+    rate: f64,
+    deadline_ms: u64,
+    (idempotent, keyed): (bool, bool),
+) -> Kind {
+    Kind {
+        index,
+        kind,
+        rate,
+        deadline: Duration::from_millis(deadline_ms),
+        idempotent,
+        keyed,
+    }
+}
+
+/// What Magnolia's callers ask for.
+pub const MAGNOLIA: [Kind; 6] = [
+    kind("proof-viewing", "match", 30.0, 1_000, (true, false)),
+    kind("proof-viewing", "rush", 15.0, 1_000, (true, false)),
+    kind("dealer-catalog", "browse", 15.0, 1_000, (true, false)),
+    kind("order-desk", "history", 20.0, 1_000, (true, true)),
+    kind("order-desk", "engrave", 20.0, 2_000, (false, true)),
+    kind("shipment-tracking", "track", 10.0, 1_000, (true, true)),
+];
+
+/// What Tamar's callers ask for.
+pub const TAMAR: [Kind; 6] = [
+    kind("design-search", "search", 30.0, 1_000, (true, false)),
+    kind("design-search", "thread", 15.0, 1_000, (true, false)),
+    kind("invoicing", "lookup", 15.0, 1_000, (true, false)),
+    kind("invoicing", "bill", 20.0, 2_000, (false, true)),
+    kind("parent-portal", "status", 20.0, 2_000, (true, true)),
+    kind("stock-ledger", "level", 10.0, 1_000, (true, true)),
+];
+
+/// One request and what it came to.
+#[derive(Debug, Clone)]
+pub struct Record {
+    /// The request.
+    pub query: Query,
+    /// When it was sent, since the load began.
+    pub at: Duration,
+    /// What it came to.
+    pub outcome: Outcome,
+}
+
+/// Load that runs until it is stopped.
+#[derive(Debug)]
+pub struct Load {
+    task: tokio::task::JoinHandle<Vec<Record>>,
+    stop: tokio::sync::watch::Sender<bool>,
+    begun: Instant,
+}
+
+impl Load {
+    /// Starts callers, each with addresses of its own.
+    pub fn spawn(kinds: &[Kind], callers: usize, bootstrap: &[SocketAddr], seed: u64) -> Self {
+        let callers: Vec<Arc<Caller>> = (0..callers)
+            .map(|number| {
+                // Callers begin at different nodes, as they do when they are configured by hand.
+                let mut addresses = bootstrap.to_vec();
+                let turn = number % addresses.len().max(1);
+                addresses.rotate_left(turn);
+                Arc::new(Caller::open(addresses))
+            })
+            .collect();
+        let (stop, stopped) = tokio::sync::watch::channel(false);
+        let begun = Instant::now();
+        let task = tokio::spawn(run(kinds.to_vec(), callers, seed, stopped, begun));
+        Self { task, stop, begun }
+    }
+
+    /// Returns the time since the load began.
+    pub fn elapsed(&self) -> Duration {
+        self.begun.elapsed()
+    }
+
+    /// Sends nothing more, waits for what is under way, and returns all records.
+    pub async fn finish(self) -> anyhow::Result<Vec<Record>> {
+        // The task may have ended by itself only through a panic, which the join reports.
+        let _ended = self.stop.send(true);
+        Ok(self.task.await?)
+    }
+}
+
+async fn run(
+    kinds: Vec<Kind>,
+    callers: Vec<Arc<Caller>>,
+    seed: u64,
+    mut stopped: tokio::sync::watch::Receiver<bool>,
+    begun: Instant,
+) -> Vec<Record> {
+    let mut random = Pcg64Mcg::seed_from_u64(seed);
+    let mut running = JoinSet::new();
+    let mut records = Vec::new();
+    let total: f64 = kinds.iter().map(|kind| kind.rate).sum();
+    let mut due = Duration::ZERO;
+    for number in 0_u64.. {
+        due += Duration::from_secs_f64(-(1.0 - random.random::<f64>()).ln() / total);
+        tokio::select! {
+            _ = stopped.changed() => break,
+            () = tokio::time::sleep_until(begun + due) => {}
+        }
+        let query = draw(&kinds, total, number, &mut random);
+        let caller = Arc::clone(&callers[random.random_range(0..callers.len())]);
+        let at = begun.elapsed();
+        running.spawn(async move {
+            let outcome = caller.query(&query).await;
+            Record { query, at, outcome }
+        });
+        while let Some(Ok(record)) = running.try_join_next() {
+            records.push(record);
+        }
+    }
+    while let Some(Ok(record)) = running.join_next().await {
+        records.push(record);
+    }
+    records.sort_by_key(|record| record.at);
+    records
+}
+
+fn draw(kinds: &[Kind], total: f64, number: u64, random: &mut Pcg64Mcg) -> Query {
+    let mut left = random.random::<f64>() * total;
+    let kind = kinds
+        .iter()
+        .find(|kind| {
+            left -= kind.rate;
+            left < 0.0
+        })
+        .unwrap_or(&kinds[0]);
+    Query {
+        index: kind.index.to_owned(),
+        kind: kind.kind.to_owned(),
+        deadline: kind.deadline,
+        routing_key: kind.keyed.then(|| format!("key-{}", number % 1_000)),
+        idempotent: kind.idempotent,
+        // Each text is used once, so that an answer to another request is never right by chance.
+        body: format!("{}/{} {number}", kind.index, kind.kind).into(),
+    }
+}
