Let a removed node join again under a new incarnation

Sessions belong to the process, so a request is passed on by node name, and the node that has restarted since says that the outcome is unknown.

--- a/src/process/control.rs
+++ b/src/process/control.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
@@ -29,7 +29,7 @@
 use crate::version::log as layout;
 use crate::version::replica::{self, Deltas, Replica};
 use crate::wire::exchange::Record;
-use crate::wire::{Exchange, Member, Report};
+use crate::wire::{Exchange, Incarnation, Member, Report};
 
 /// The path of an exchange between nodes.
 pub const EXCHANGE_PATH: &str = "/peer/exchange";
@@ -50,6 +50,8 @@
 const MEMBERS: Duration = Duration::from_secs(1);
 /// The least time between two views, so that many small changes cost one rebuild.
 const REBUILD: Duration = Duration::from_millis(50);
+/// How long a permit must be missing before a log line says so.
+const PERMIT_LOST: Duration = Duration::from_millis(250);
 /// The time allowed for fetching settings from a peer.
 const SETTINGS_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -207,6 +209,17 @@
 
 struct Worker;
 
+/// Starts the node outside its cell's record.
+fn join(config: &Config, settings: u64, now: Moment) -> Cell {
+    let cell = cell::Config {
+        cell: config.cell.clone(),
+        me: config.me.clone(),
+        settings,
+        rules: cell::Rules::default(),
+    };
+    Cell::open(cell, now)
+}
+
 /// What the node knows of another node apart from its cell's rule.
 #[derive(Debug)]
 struct Contact {
@@ -240,7 +253,10 @@
     own_mark: u64,
     assignment: Assignment,
     announced: bool,
+    leaving: bool,
     permitted: bool,
+    /// Since when the node has had no permit, until that was logged.
+    unpermitted: Option<Moment>,
     store_reachable: bool,
     next_foreign: Moment,
     next_records: Moment,
@@ -260,15 +276,9 @@
         (config, shared): (Config, Arc<Shared>),
     ) -> Result<State, ActorProcessingErr> {
         let now = config.clock.now();
-        let cell = cell::Config {
-            cell: config.cell.clone(),
-            me: config.me.clone(),
-            settings: 0,
-            rules: cell::Rules::default(),
-        };
         Ok(State {
             store: Arc::new(Store::open(config.store.clone())),
-            cell: Cell::open(cell, now),
+            cell: join(&config, 0, now),
             replica: Replica::open(),
             list: List::default(),
             read_to: 0,
@@ -279,7 +289,9 @@
             own_mark: 0,
             assignment: Assignment::default(),
             announced: false,
+            leaving: false,
             permitted: false,
+            unpermitted: None,
             store_reachable: true,
             next_foreign: now,
             next_records: now,
@@ -327,11 +339,33 @@
             Message::Members(result) => self.members_read(result),
             Message::Status(reply) => answer(reply, self.status(now)),
             Message::Announce => self.announced = true,
-            Message::Leave => self.cell_step(cell::Event::Stopping, now),
+            Message::Leave => {
+                self.leaving = true;
+                self.cell_step(cell::Event::Stopping, now);
+            }
         }
     }
 
+    /// Joins the cell again under a new incarnation if the present one was removed.
+    ///
+    /// The others remove a node that does not answer, for example while it is paused. The removed
+    /// incarnation never dispatches again, so that they may use its targets.
+    fn rejoin(&mut self, now: Moment) {
+        if !self.cell.removed() || self.leaving {
+            return;
+        }
+        let started = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+        let fresh = started.map_or(0, |it| u64::try_from(it.as_micros()).unwrap_or(u64::MAX));
+        let me = &mut self.config.me;
+        // The wall clock may have gone back; a later incarnation must still have a higher number.
+        me.incarnation = Incarnation(fresh.max(me.incarnation.0 + 1));
+        log::warn!(incarnation:% = me.incarnation; "removed from the cell; joining again");
+        self.cell = join(&self.config, self.replica.version(), now);
+        self.dirty = true;
+    }
+
     fn tick(&mut self, now: Moment) {
+        self.rejoin(now);
         self.cell_step(cell::Event::Tick, now);
         self.replica_step(replica::Event::Tick, now);
         self.take_summaries();
@@ -757,16 +791,24 @@
             .permit_until
             .store(until.as_micros(), Ordering::Release);
         let permitted = until > now;
-        if permitted != self.permitted {
-            self.permitted = permitted;
-            self.config.metrics.permit.set(i64::from(permitted));
-            if permitted {
+        self.config.metrics.permit.set(i64::from(permitted));
+        self.log_permit(permitted, now);
+    }
+
+    /// Logs that the permit was obtained or lost; a short loss while a new version is adopted is not
+    /// worth a line.
+    fn log_permit(&mut self, permitted: bool, now: Moment) {
+        if permitted {
+            self.unpermitted = None;
+            if !std::mem::replace(&mut self.permitted, true) {
                 log::info!("permit obtained");
-            } else {
-                log::warn!(
-                    "permit lost; no new work until settings and members are proved current"
-                );
             }
+            return;
+        }
+        let since = *self.unpermitted.get_or_insert(now);
+        if self.permitted && now.since(since) >= PERMIT_LOST {
+            self.permitted = false;
+            log::warn!("permit lost; no new work until settings and members are proved current");
         }
     }
 
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -319,19 +319,14 @@
         policy: Query,
         view: &View,
     ) -> Result<Reply, Refusal> {
-        let Some(text) = &ask.request else {
-            let text = "this query kind is not idempotent and needs a Request-Id header";
-            return Err(Refusal::new(Reason::BadRequestId, text));
-        };
-        let bad = |e: id::Error| Refusal::new(Reason::BadRequestId, e.to_string());
-        let request: id::Request = text.parse().map_err(bad)?;
+        let request = parse(&ask)?;
         match self.ledger.verify(&request) {
             Ok(()) => {}
-            Err(id::Error::Foreign(node, incarnation)) => {
+            Err(id::Error::Foreign(node, _)) => {
                 let run = run(ask, &policy);
-                return self.forward(&node, incarnation, run, view).await;
+                return self.forward(&node, run, view).await;
             }
-            Err(e) => return Err(bad(e)),
+            Err(e) => return Err(Refusal::new(Reason::BadRequestId, e.to_string())),
         }
         let digest = digest(&ask.index, &ask.kind, ask.routing_key.as_deref(), &ask.body);
         match self.ledger.begin(request.clone(), digest).await {
@@ -382,15 +377,9 @@
         conclude(verdict).map(|answer| answer.reply())
     }
 
-    async fn forward(
-        &self,
-        node: &str,
-        incarnation: Incarnation,
-        run: Run,
-        view: &View,
-    ) -> Result<Reply, Refusal> {
+    async fn forward(&self, node: &str, run: Run, view: &View) -> Result<Reply, Refusal> {
         let unknown = |text| Err(Refusal::new(Reason::OutcomeUnknown, text));
-        let Some(member) = view.node(node, incarnation) else {
+        let Some(node) = view.nodes.get(node).filter(|_| node != self.me.name) else {
             return unknown(
                 "the node that issued this request id is gone; the request may have run",
             );
@@ -399,7 +388,7 @@
         match self
             .coordinator
             .peers
-            .call(member.peer, RUN_PATH, &run, timeout)
+            .call(node.member.peer, RUN_PATH, &run, timeout)
             .await
         {
             Ok(reply) => Ok(reply),
@@ -409,24 +398,31 @@
         }
     }
 
-    /// Answers a request that a peer passed on.
+    /// Answers a request that a peer passed on because this process issued its session.
     async fn run(self: &Arc<Self>, run: Run) -> Reply {
-        let deadline = Duration::from_micros(run.remaining_us);
+        let result = self.run_passed(run).await;
+        result.unwrap_or_else(|refusal| self.count(&refusal))
+    }
+
+    async fn run_passed(self: &Arc<Self>, run: Run) -> Result<Reply, Refusal> {
         let ask = Ask {
             index: run.index,
             kind: run.kind,
-            deadline: Some(deadline),
+            deadline: Some(Duration::from_micros(run.remaining_us)),
             request: Some(run.request),
             routing_key: run.routing_key,
             body: run.body,
         };
         let view = Arc::clone(&self.control.view());
-        let result = match self.policy(&ask, &view) {
-            Ok(policy) => self.answer_once(ask, policy, &view).await,
-            // The settings that made the request non-idempotent may be newer than this node's.
-            Err(refusal) => Err(refusal),
-        };
-        result.unwrap_or_else(|refusal| self.count(&refusal))
+        let policy = self.policy(&ask, &view)?;
+        let request = parse(&ask)?;
+        if let Err(id::Error::Foreign(..)) = self.ledger.verify(&request) {
+            // An earlier run of this node issued the session, and its table is gone.
+            let text =
+                "the node that issued this request id has restarted; the request may have run";
+            return Err(Refusal::new(Reason::OutcomeUnknown, text));
+        }
+        self.answer_once(ask, policy, &view).await
     }
 
     fn count(&self, refusal: &Refusal) -> Reply {
@@ -438,6 +434,15 @@
 /// How much longer than the deadline a node waits for the one that it passed a request to.
 const FORWARD_MARGIN: Duration = Duration::from_millis(200);
 
+fn parse(ask: &Ask) -> Result<id::Request, Refusal> {
+    let Some(text) = &ask.request else {
+        let text = "this query kind is not idempotent and needs a Request-Id header";
+        return Err(Refusal::new(Reason::BadRequestId, text));
+    };
+    text.parse()
+        .map_err(|e: id::Error| Refusal::new(Reason::BadRequestId, e.to_string()))
+}
+
 fn run(ask: Ask, policy: &Query) -> Run {
     let deadline = ask.deadline.unwrap_or(policy.deadline);
     Run {
--- a/src/process/view.rs
+++ b/src/process/view.rs
@@ -83,12 +83,6 @@
             nodes: nodes(sources),
         }
     }
-
-    /// Finds the node that runs as this incarnation.
-    pub fn node(&self, name: &str, incarnation: crate::wire::Incarnation) -> Option<&Member> {
-        let node = self.nodes.get(name)?;
-        (node.member.incarnation == incarnation).then_some(&node.member)
-    }
 }
 
 fn nodes(sources: &Sources<'_>) -> BTreeMap<String, Node> {
