--- a/src/command/query.rs
+++ b/src/command/query.rs
@@ -1,5 +1,6 @@
 //! Sends queries as a caller does.
 
+use std::io::Write;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -91,7 +92,10 @@
 fn print(outcome: &Outcome) {
     match &outcome.result {
         Ok(answer) => {
-            println!(
+            let mut out = std::io::stdout().lock();
+            // A reader that has seen enough, such as `head`, may close the pipe.
+            let _closed = writeln!(
+                out,
                 "snapshot {}, {} of {} shards, {} attempts, {:.1} ms",
                 answer.snapshot,
                 answer.coverage.answered,
@@ -100,7 +104,7 @@
                 outcome.elapsed.as_secs_f64() * 1_000.0,
             );
             for hit in &answer.hits {
-                println!("{:.4} {}", hit.score, hit.id);
+                let _closed = writeln!(out, "{:.4} {}", hit.score, hit.id);
             }
         }
         Err(e) => eprintln!("redwinggrade-query: {e}{}", consequence(e)),
