--- a/src/command/change.rs
+++ b/src/command/change.rs
@@ -179,27 +179,25 @@
         return Report::ok(text, json);
     }
     let cells: Vec<&str> = waiting.iter().map(|cell| cell.cell.as_str()).collect();
-    let mut text = format!(
-        "stored as version {version} (operation {operation}), not yet confirmed at {}\n",
+    let mut lines = vec![format!(
+        "stored as version {version} (operation {operation}), not yet confirmed at {}",
         cells.join(", ")
-    );
+    )];
     for cell in waiting {
-        text.push_str(&format!("  cell {}: {}", cell.cell, cell.reason));
-        if !cell.members.is_empty() {
-            text.push_str(&format!("; missing: {}", cell.members.join(", ")));
-        }
-        text.push('\n');
-    }
-    for fault in silent {
-        text.push_str(&format!("  {fault}\n"));
+        let missing = match cell.members.as_slice() {
+            [] => String::new(),
+            members => format!("; missing: {}", members.join(", ")),
+        };
+        lines.push(format!("  cell {}: {}{missing}", cell.cell, cell.reason));
     }
-    text.push_str(&format!(
+    lines.extend(silent.iter().map(|fault| format!("  {fault}")));
+    lines.push(format!(
         "ask again with `redwinggrade history --operation {operation}`, with --node for each cell above"
     ));
     json["unconfirmed"] = json!(waiting);
     Report {
         exit: Exit::Unconfirmed,
-        text,
+        text: lines.join("\n"),
         json,
     }
 }
--- a/src/command/explain.rs
+++ b/src/command/explain.rs
@@ -27,13 +27,12 @@
     let version = arguments.at.unwrap_or_else(|| mark.version());
     let tree = settings::tree(&store, &mark, version).await?;
     let found = tree.explain(&arguments.path)?;
-    let mut text = format!(
-        "{} = {}, set by {} (version {version})\n",
+    let mut lines = vec![format!(
+        "{} = {}, set by {} (version {version})",
         arguments.path, found.value, found.level
-    );
-    for (level, value) in &found.overridden {
-        text.push_str(&format!("  overrides {value} of {level}\n"));
-    }
+    )];
+    let overridden = found.overridden.iter();
+    lines.extend(overridden.map(|(level, value)| format!("  overrides {value} of {level}")));
     let overridden: Vec<_> = found
         .overridden
         .iter()
@@ -46,5 +45,5 @@
         "level": found.level,
         "overridden": overridden,
     });
-    Ok(Report::ok(text, json))
+    Ok(Report::ok(lines.join("\n"), json))
 }
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -135,10 +135,10 @@
 
 impl Failure {
     /// Describes a failure.
-    pub fn new<M: ToString>(exit: Exit, message: M) -> Self {
+    pub fn new<M: Into<String>>(exit: Exit, message: M) -> Self {
         Self {
             exit,
-            message: message.to_string(),
+            message: message.into(),
             hint: None,
         }
     }
@@ -152,7 +152,7 @@
 
 impl From<settings::Error> for Failure {
     fn from(fault: settings::Error) -> Self {
-        let failure = Self::new(Exit::Error, &fault);
+        let failure = Self::new(Exit::Error, fault.to_string());
         match fault {
             settings::Error::Store(fault) => fault.into(),
             settings::Error::Damaged(_) => failure.hint(
@@ -175,7 +175,7 @@
 
 impl From<tree::Error> for Failure {
     fn from(fault: tree::Error) -> Self {
-        Self::new(Exit::Error, fault)
+        Self::new(Exit::Error, fault.to_string())
     }
 }
 
--- a/src/command/status.rs
+++ b/src/command/status.rs
@@ -14,21 +14,21 @@
 
 /// Print the state of the store and the nodes.
 #[derive(Debug, Args)]
-pub struct Arguments {}
+pub struct Arguments;
 
 /// Runs the command.
 pub async fn run(_arguments: &Arguments, context: &Context) -> Result<Report, Failure> {
     let store = context.store()?;
-    let mut text = String::new();
+    let mut lines = Vec::new();
     let mut exit = Exit::Ok;
     let newest = match settings::head(&store).await {
         Ok(mark) => {
-            text.push_str(&format!("store: version {}\n", mark.version()));
+            lines.push(format!("store: version {}", mark.version()));
             Some(mark.version())
         }
         Err(fault) => {
             exit = Exit::Error;
-            text.push_str(&format!("store: {fault}\n"));
+            lines.push(format!("store: {fault}"));
             None
         }
     };
@@ -42,7 +42,7 @@
             Ok(status) => nodes.push(status),
             Err(fault) => {
                 exit = Exit::Error;
-                text.push_str(&format!("{fault}\n"));
+                lines.push(format!("{fault}"));
             }
         }
     }
@@ -51,9 +51,10 @@
         if exit == Exit::Ok && newest.is_some_and(|newest| node.settings_version < newest) {
             exit = Exit::Unconfirmed;
         }
-        text.push_str(&line(node));
+        lines.push(line(node));
     }
     let json = json!({"version": newest, "nodes": nodes});
+    let text = lines.join("\n");
     Ok(Report { exit, text, json })
 }
 
@@ -64,11 +65,10 @@
         node.cell, node.node, node.data_centre, node.settings_version
     );
     for seen in &node.seen {
-        line.push_str(&format!(
-            "; saw {} at {} {} ms ago",
-            seen.name, seen.settings, seen.age_ms
-        ));
+        line += "; saw ";
+        line += &seen.name;
+        line += " at ";
+        line += &seen.settings.to_string();
     }
-    line.push('\n');
     line
 }
--- a/src/connection/admin.rs
+++ b/src/connection/admin.rs
@@ -15,7 +15,7 @@
 use crate::version::acceptance::Status;
 
 /// Longest time from connecting to having the whole status.
-pub const STATUS_TIMEOUT: Duration = Duration::from_millis(1_000);
+pub const STATUS_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest status that is read; a cell has at most 16 members.
 const STATUS_LIMIT: usize = 1 << 20;
 
--- a/src/connection/settings.rs
+++ b/src/connection/settings.rs
@@ -98,7 +98,7 @@
     };
     if newest.is_empty() || !next.is_empty() {
         let reason = format!("version {base} is not the newest in the log");
-        return Err(log::Error::new(log::HEAD_KEY, reason).into());
+        return Err(log::Error::new(log::HEAD_KEY, &reason).into());
     }
     Ok(Mark {
         head: Some(Head {
@@ -156,7 +156,7 @@
     let written = entry(store, snapshot).await?;
     if written.is_none_or(|entry| entry.digest != tree.digest()) {
         let reason = "it is not the snapshot of its version";
-        return Err(log::Error::new(log::snapshot_prefix(snapshot), reason).into());
+        return Err(log::Error::new(log::snapshot_prefix(snapshot), &reason).into());
     }
     let mut reached = snapshot;
     while reached < version {
--- a/src/connection/store.rs
+++ b/src/connection/store.rs
@@ -24,7 +24,7 @@
 /// Longest time to open a connection to one address of the store.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest time from sending a request to having its whole answer.
-pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
+pub const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest answer that is read; 64 log entries or a snapshot of a large tree fit several times.
 pub const ANSWER_LIMIT: usize = 32 << 20;
 /// Longest part of an error answer that is passed on.
@@ -59,8 +59,8 @@
     #[serde_as(as = "Base64")]
     key: Vec<u8>,
     #[serde_as(as = "Option<Base64>")]
-    #[serde(skip_serializing_if = "Option::is_none")]
-    range_end: Option<Vec<u8>>,
+    #[serde(rename = "range_end", skip_serializing_if = "Option::is_none")]
+    end: Option<Vec<u8>>,
     #[serde_as(as = "Option<DisplayFromStr>")]
     #[serde(skip_serializing_if = "Option::is_none")]
     min_mod_revision: Option<u64>,
@@ -90,7 +90,7 @@
         }
         Self {
             key,
-            range_end: Some(end),
+            end: Some(end),
             ..Self::default()
         }
     }
@@ -99,7 +99,7 @@
     pub fn span<K: Into<String>>(first: K, end: K) -> Self {
         Self {
             key: first.into().into_bytes(),
-            range_end: Some(end.into().into_bytes()),
+            end: Some(end.into().into_bytes()),
             ..Self::default()
         }
     }
--- a/src/process/record.rs
+++ b/src/process/record.rs
@@ -108,7 +108,7 @@
 
 fn decode(key: &str, found: &KeyValue) -> Result<Stored, log::Error> {
     let record =
-        serde_json::from_slice(&found.value()).map_err(|fault| log::Error::new(key, fault))?;
+        serde_json::from_slice(&found.value()).map_err(|fault| log::Error::new(key, &fault))?;
     Ok(Stored {
         record,
         mod_revision: found.mod_revision,
--- a/src/version/edit.rs
+++ b/src/version/edit.rs
@@ -33,17 +33,15 @@
         }
     }
 
-    fn set<P: ToString>(path: P, value: Json) -> Self {
+    fn set<P: Into<String>>(path: P, value: Json) -> Self {
         Self::Set {
-            path: path.to_string(),
+            path: path.into(),
             value,
         }
     }
 
-    fn unset<P: ToString>(path: P) -> Self {
-        Self::Unset {
-            path: path.to_string(),
-        }
+    fn unset<P: Into<String>>(path: P) -> Self {
+        Self::Unset { path: path.into() }
     }
 }
 
--- a/src/version/log.rs
+++ b/src/version/log.rs
@@ -12,6 +12,8 @@
 //! head, entry and chunk names the digest of the tree at its version. A value that was truncated or
 //! edited by hand fails one of the two checks. See `docs/design.md`, section 5.
 
+use std::fmt::Display;
+
 use bytes::Bytes;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -99,10 +101,10 @@
 }
 
 impl Error {
-    pub(crate) fn new<K, R>(key: K, reason: R) -> Self
+    pub(crate) fn new<K, R>(key: K, reason: &R) -> Self
     where
         K: Into<String>,
-        R: ToString,
+        R: Display + ?Sized,
     {
         Self {
             key: key.into(),
@@ -155,7 +157,7 @@
 where
     T: DeserializeOwned,
 {
-    let mut json: Json = serde_json::from_slice(value).map_err(|fault| Error::new(key, fault))?;
+    let mut json: Json = serde_json::from_slice(value).map_err(|fault| Error::new(key, &fault))?;
     let check = json
         .as_object_mut()
         .and_then(|fields| fields.remove("check"))
@@ -163,7 +165,7 @@
     if check.as_str() != Some(&check_of(&json)) {
         return Err(Error::new(key, "its check does not match its fields"));
     }
-    serde_json::from_value(json).map_err(|fault| Error::new(key, fault))
+    serde_json::from_value(json).map_err(|fault| Error::new(key, &fault))
 }
 
 /// Maps of `serde_json` are sorted, so that equal fields give equal text.
@@ -221,7 +223,7 @@
 /// Reads a canonical text and verifies its digest.
 pub fn restore(version: u64, digest: Digest, text: &str) -> Result<Tree, Error> {
     let tree =
-        Tree::from_canonical(text).map_err(|fault| Error::new(snapshot_prefix(version), fault))?;
+        Tree::from_canonical(text).map_err(|fault| Error::new(snapshot_prefix(version), &fault))?;
     if tree.digest() == digest {
         return Ok(tree);
     }
@@ -246,13 +248,13 @@
     if entry.version != version + 1 || entry.base != version {
         return Err(Error::new(
             key,
-            format!("it leads from {} to {}", entry.base, entry.version),
+            &format!("it leads from {} to {}", entry.base, entry.version),
         ));
     }
     let Some(edits) = &entry.edits else {
         return Ok(Step::Snapshot);
     };
-    let next = edit::apply(tree, edits).map_err(|fault| Error::new(&key, fault))?;
+    let next = edit::apply(tree, edits).map_err(|fault| Error::new(&key, &fault))?;
     if next.digest() != entry.digest {
         return Err(Error::new(key, "its edits do not lead to its digest"));
     }
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -6,6 +6,7 @@
 pub mod log;
 pub mod place;
 pub mod policy;
+mod reader;
 pub mod replica;
 pub mod tree;
 
--- a/src/version/replica.rs
+++ b/src/version/replica.rs
@@ -325,11 +325,11 @@
                 "it names version {} after version {}",
                 head.version, self.version
             );
-            return self.report(log::Error::new(log::HEAD_KEY, reason), actions);
+            return self.report(log::Error::new(log::HEAD_KEY, &reason), actions);
         }
         if head.version == self.version && head.digest != self.tree.digest() {
             let reason = format!("it names another digest for version {}", self.version);
-            return self.report(log::Error::new(log::HEAD_KEY, reason), actions);
+            return self.report(log::Error::new(log::HEAD_KEY, &reason), actions);
         }
         let newer = self
             .head
