--- a/src/command/apply.rs
+++ b/src/command/apply.rs
@@ -52,10 +52,11 @@
         }
         _ => {}
     }
-    let old = match settings::tree(&store, &mark, newest).await {
-        Ok(old) => Some(old),
-        Err(settings::Error::Damaged(_)) if arguments.rewrite => None,
-        Err(fault) => return Err(fault.into()),
+    // Without the old tree the change is stored whole, and nothing depends on the log before it.
+    let old = if arguments.rewrite {
+        None
+    } else {
+        Some(settings::tree(&store, &mark, newest).await?)
     };
     let timeout = Duration::from_secs(arguments.wait.timeout);
     change::commit(context, &store, &mark, old.as_ref(), &new, timeout).await
--- a/src/command/change.rs
+++ b/src/command/change.rs
@@ -4,6 +4,7 @@
 //! is known or the time is up; nothing is written a second time. See `docs/design.md`, section 5.
 
 use std::collections::BTreeMap;
+use std::io::{self, Write};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use clap::Args;
@@ -53,6 +54,7 @@
     let until = context.clock.now() + timeout;
     let origin = origin(mark.version());
     let change = Change::prepare(mark.version(), mark.snapshot_version(), old, new, origin);
+    announce(&change.entry);
     let mut written = settings::write(store, mark, &change).await?;
     while let Written::Unknown(_) = written {
         written = match settings::settle(store, &change).await {
@@ -83,6 +85,18 @@
     }
 }
 
+/// Names the operation before it is written, so that its outcome can be asked for if the client is
+/// stopped.
+fn announce(entry: &Entry) {
+    let mut err = io::stderr().lock();
+    // Without a reader of the messages the write still goes on.
+    let _ = writeln!(
+        err,
+        "operation {} writes version {}",
+        entry.operation, entry.version
+    );
+}
+
 /// Applies edits to the newest version, again from the start if another change comes first.
 ///
 /// This is safe only for edits whose meaning does not depend on the version that they start from.
--- a/src/command/history.rs
+++ b/src/command/history.rs
@@ -52,7 +52,13 @@
             Failure::new(Exit::Usage, format!("{operation} is not an operation id"))
                 .hint("use the id that the command printed, such as 17-0123456789abcdef")
         })?;
-    match settings::entry(store, base + 1).await? {
+    let found = match settings::entry(store, base + 1).await {
+        Err(settings::Error::Store(fault)) => {
+            return Err(change::unknown(operation, &fault.to_string()));
+        }
+        found => found?,
+    };
+    match found {
         None => Err(change::unknown(operation, "it is not in the log")),
         Some(entry) if entry.operation != operation => Err(Failure::new(
             Exit::Conflict,
--- a/src/connection/store.rs
+++ b/src/connection/store.rs
@@ -384,7 +384,10 @@
             .header(CONTENT_TYPE, "application/json")
             .body(Full::new(body))
             .expect("the path is a constant");
-        sender.ready().await.map_err(not_sent(address))?;
+        timeout(CONNECT_TIMEOUT, sender.ready())
+            .await
+            .map_err(not_sent(address))?
+            .map_err(not_sent(address))?;
         let answer = async {
             let response = sender
                 .try_send_request(request)
--- a/tests/command.rs
+++ b/tests/command.rs
@@ -152,6 +152,7 @@
         .await;
     assert_eq!(run.code, 5, "{run:?}");
     assert_eq!(operations(&workdir).len(), 2);
+    // The id is named before the write, in case the client is stopped.
     let operation = run.err.split("operation ").nth(1).unwrap();
     let operation = operation.split(' ').next().unwrap();
     assert_eq!(
--- a/tests/edit.rs
+++ b/tests/edit.rs
@@ -64,6 +64,12 @@
             let edits = edit::diff(&old, &new);
             let encoded = serde_json::to_vec(&edits).unwrap();
             let decoded: Vec<Edit> = serde_json::from_slice(&encoded).unwrap();
+            // Peers use the other encoding.
+            let packed = rmp_serde::to_vec(&edits).unwrap();
+            prop_assert_eq!(
+                &rmp_serde::from_slice::<Vec<Edit>>(&packed).unwrap(),
+                &edits
+            );
             let reached = edit::apply(&old, &decoded).unwrap();
             prop_assert_eq!(&reached, &new);
             prop_assert_eq!(reached.digest(), new.digest());
--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -110,6 +110,14 @@
     }
 }
 
+/// Carries what a peer gives over the encoding that nodes use between them.
+fn carry(deltas: &Deltas) -> Event {
+    let encoded = rmp_serde::to_vec(deltas).unwrap();
+    let decoded: Deltas = rmp_serde::from_slice(&encoded).unwrap();
+    assert_eq!(decoded, *deltas);
+    Event::Deltas { deltas: decoded }
+}
+
 fn at(millis: u64) -> Moment {
     Moment::from_millis(millis)
 }
@@ -122,12 +130,7 @@
     assert_eq!(**replica.tree(), log.trees[300]);
     assert_eq!(replica.current_as_of(), Some(at(10)));
     let mut peer = Replica::open();
-    peer.step(
-        Event::Deltas {
-            deltas: replica.deltas(0),
-        },
-        at(20),
-    );
+    peer.step(carry(&replica.deltas(0)), at(20));
     assert_eq!(peer.version(), 300);
     assert!(matches!(replica.deltas(255), Deltas::Snapshot { .. }));
     assert!(matches!(replica.deltas(256), Deltas::Entries(entries) if entries.len() == 44));
@@ -236,12 +239,7 @@
     let mut peer = Replica::open();
     log.bring(&mut peer, 1, at(1));
     log.bring(&mut peer, 3, at(2));
-    replica.step(
-        Event::Deltas {
-            deltas: peer.deltas(1),
-        },
-        later,
-    );
+    replica.step(carry(&peer.deltas(1)), later);
     assert_eq!(**replica.tree(), log.trees[3]);
 }
 
@@ -317,9 +315,7 @@
                     assert_eq!(**tree, full.trees[*version as usize], "seed {seed}");
                 }
                 if let Action::AskPeer { since, .. } = &action {
-                    events.push(Event::Deltas {
-                        deltas: peer.deltas(*since),
-                    });
+                    events.push(carry(&peer.deltas(*since)));
                 }
                 let answer = match full.answer(&action) {
                     Some(Event::Entries { mut values }) if random.random_ratio(1, 4) => {
