--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -10,6 +10,8 @@
 pub mod explain;
 pub mod history;
 pub mod instance;
+pub mod node;
+pub mod query;
 pub mod show;
 pub mod status;
 
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -1,5 +1,10 @@
-//! What lives as long as a connection, and the clients that hold connections.
+//! What lives as long as one connection: to callers, operators, other nodes, targets and the store.
 
 pub mod admin;
+pub mod caller;
+pub mod members;
+pub mod operator;
+pub mod peer;
 pub mod settings;
 pub mod store;
+pub mod target;
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -1,6 +1,7 @@
 //! What lives as long as one version of the settings or of an index.
 
 pub mod acceptance;
+pub mod directory;
 mod draft;
 pub mod edit;
 mod index;
--- a/src/version/reader.rs
+++ b/src/version/reader.rs
@@ -8,9 +8,7 @@
 use serde::de::{MapAccess, SeqAccess, Visitor};
 use serde::{Deserialize, Deserializer};
 use serde_json::Value as Json;
-use serde_saphyr::budget::Budget;
-use serde_saphyr::options::AliasLimits;
-use serde_saphyr::{Options, Spanned};
+use serde_saphyr::{NonFiniteFloatPolicy, Spanned};
 
 use super::draft::Draft;
 use super::key;
@@ -32,21 +30,20 @@
 }
 
 fn read_yaml(text: &str) -> Result<Spanned<Node>, Fault> {
-    let options = Options {
-        budget: Some(Budget {
+    let options = serde_saphyr::options! {
+        budget: serde_saphyr::budget! {
             max_nodes: NODE_LIMIT,
             max_depth: DEPTH_LIMIT,
             max_documents: 1,
-            ..Budget::default()
-        }),
-        alias_limits: AliasLimits {
+        },
+        alias_limits: serde_saphyr::alias_limits! {
             max_total_replayed_events: ALIAS_LIMIT,
-            ..AliasLimits::default()
         },
         // Only `true` and `false` are booleans, so that a data centre may be called `no`.
         strict_booleans: true,
+        // They reach the check of their key, which names the key in its message.
+        non_finite_float_policy: NonFiniteFloatPolicy::AsString,
         with_snippet: false,
-        ..Options::default()
     };
     serde_saphyr::from_str_with_options(text, options).map_err(|fault| {
         let line = fault.location().map(|location| location.line());
