--- a/src/command/change.rs
+++ b/src/command/change.rs
@@ -4,6 +4,7 @@
 //! is known or the time is up; nothing is written a second time. See `docs/design.md`, section 5.
 
 use std::collections::BTreeMap;
+use std::io::{self, Write};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use clap::Args;
@@ -53,6 +54,7 @@
     let until = context.clock.now() + timeout;
     let origin = origin(mark.version());
     let change = Change::prepare(mark.version(), mark.snapshot_version(), old, new, origin);
+    announce(&change.entry);
     let mut written = settings::write(store, mark, &change).await?;
     while let Written::Unknown(_) = written {
         written = match settings::settle(store, &change).await {
@@ -83,6 +85,18 @@
     }
 }
 
+/// Names the operation before it is written, so that its outcome can be asked for if the client is
+/// stopped.
+fn announce(entry: &Entry) {
+    let mut err = io::stderr().lock();
+    // Without a reader of the messages the write still goes on.
+    let _ = writeln!(
+        err,
+        "operation {} writes version {}",
+        entry.operation, entry.version
+    );
+}
+
 /// Applies edits to the newest version, again from the start if another change comes first.
 ///
 /// This is safe only for edits whose meaning does not depend on the version that they start from.
@@ -179,27 +193,25 @@
         return Report::ok(text, json);
     }
     let cells: Vec<&str> = waiting.iter().map(|cell| cell.cell.as_str()).collect();
-    let mut text = format!(
-        "stored as version {version} (operation {operation}), not yet confirmed at {}\n",
+    let mut lines = vec![format!(
+        "stored as version {version} (operation {operation}), not yet confirmed at {}",
         cells.join(", ")
-    );
+    )];
     for cell in waiting {
-        text.push_str(&format!("  cell {}: {}", cell.cell, cell.reason));
-        if !cell.members.is_empty() {
-            text.push_str(&format!("; missing: {}", cell.members.join(", ")));
-        }
-        text.push('\n');
-    }
-    for fault in silent {
-        text.push_str(&format!("  {fault}\n"));
+        let missing = match cell.members.as_slice() {
+            [] => String::new(),
+            members => format!("; missing: {}", members.join(", ")),
+        };
+        lines.push(format!("  cell {}: {}{missing}", cell.cell, cell.reason));
     }
-    text.push_str(&format!(
+    lines.extend(silent.iter().map(|fault| format!("  {fault}")));
+    lines.push(format!(
         "ask again with `redwinggrade history --operation {operation}`, with --node for each cell above"
     ));
     json["unconfirmed"] = json!(waiting);
     Report {
         exit: Exit::Unconfirmed,
-        text,
+        text: lines.join("\n"),
         json,
     }
 }
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -2,11 +2,14 @@
 
 pub mod acceptance;
 pub mod directory;
+mod draft;
 pub mod edit;
+mod index;
 pub mod key;
 pub mod log;
 pub mod place;
 pub mod policy;
+mod reader;
 pub mod replica;
 pub mod tree;
 
