Test queries against every fault at every step; copy only the best hits

Cause: the promises P1, P2, P5, P6 and P7 had no tests against faults, and merging copied every hit. Merging keeps a heap of the best hits and borrows ids from the body. A shard without replicas left counts as gone if one of them refused because it dropped the version.

--- /dev/null
+++ b/examples/scatter_cost.rs
@@ -0,0 +1,160 @@
+//! Measures the processor time that the decisions of one query cost per leg.
+//!
+//! Usage: `cargo run --release --example scatter_cost [queries] [hits per answer]`
+
+use std::time::Duration;
+
+use anyhow::Context;
+use bytes::Bytes;
+use redwinggrade::request::choice;
+use redwinggrade::request::hedge::{self, Hedge};
+use redwinggrade::request::scatter::{Action, Event, Plan, Scatter, Selection, Verdict};
+use redwinggrade::time::Moment;
+use redwinggrade::version::directory::{Directory, Target};
+use redwinggrade::version::policy::{self, Query};
+use redwinggrade::wire::exchange::Holding;
+use redwinggrade::wire::{Incarnation, Load, Member, Outcome, Version};
+use rustix::time::{ClockId, clock_gettime};
+
+const SHARDS: u32 = 83;
+const REPLICAS: u32 = 2;
+const LOAD: Load = Load {
+    queued: 0,
+    running: 1,
+    limit: 4,
+    latency_us: 5_000,
+};
+
+fn directory() -> anyhow::Result<Directory> {
+    let address = "127.0.0.1:1".parse()?;
+    let gateway = Member {
+        name: "node-1".into(),
+        incarnation: Incarnation(1),
+        peer: address,
+        caller: address,
+    };
+    let target = |shard, replica| Target {
+        name: format!("proof-viewing-s{shard:02}-{replica}").into(),
+        address,
+        data_centre: format!("dc{replica}").into(),
+        index: "proof-viewing".into(),
+        service: format!("s{shard:02}").into(),
+        replica,
+        gateway: Some(gateway.clone()),
+        usable: true,
+        holdings: [6, 7]
+            .map(|version| Holding {
+                version: Version(version),
+                shard,
+                shards: SHARDS,
+            })
+            .to_vec(),
+        load: LOAD,
+    };
+    let shards = (0..SHARDS).flat_map(|shard| (0..REPLICAS).map(move |replica| (shard, replica)));
+    Ok(Directory::build(
+        shards
+            .map(|(shard, replica)| target(shard, replica))
+            .collect(),
+    ))
+}
+
+fn plan(number: u64, now: Moment) -> Plan {
+    let policy = Query {
+        deadline: Duration::from_millis(200),
+        least_coverage: 1.0,
+        straggler_wait: Duration::from_millis(20),
+        hedge_percent: 5.0,
+        priority: 0,
+        idempotent: true,
+        scatter: policy::Scatter::All,
+        limit: 10,
+    };
+    Plan {
+        request: format!("node-1.5f.{number:x}.0123456789abcdef-1"),
+        index: "proof-viewing".into(),
+        data_centre: "dc0".into(),
+        selection: Selection::All,
+        policy,
+        choice: choice::Policy::LeastWait,
+        deadline: now + policy.deadline,
+    }
+}
+
+/// Runs one query whose answers arrive 50 microseconds apart; one leg in 32 is slow enough for a hedge.
+fn run(number: u64, now: Moment, directory: &Directory, hedge: &mut Hedge, body: &Bytes) -> u32 {
+    let plan = plan(number, now);
+    let request = plan.request.clone();
+    let mut scatter = Scatter::open(plan, now);
+    let mut now = now;
+    let mut legs = Vec::new();
+    let mut event = Event::Start;
+    let mut slow = Vec::new();
+    loop {
+        for action in scatter.step(event, now, directory, hedge) {
+            match action {
+                Action::Send { leg, .. } if (u64::from(leg.number) + number).is_multiple_of(32) => {
+                    slow.push(leg);
+                }
+                Action::Send { leg, .. } => legs.push(leg),
+                Action::Cancel { leg, .. } => slow.retain(|it| it.number != leg),
+                Action::Finish(Verdict::Answer { attempts, .. }) => return attempts,
+                Action::Finish(refusal) => panic!("refused: {refusal:?}"),
+            }
+        }
+        now = now + Duration::from_micros(50);
+        let leg = legs.pop().or_else(|| {
+            now = now + Duration::from_millis(10);
+            slow.pop()
+        });
+        event = match leg {
+            _ if scatter.wake().is_some_and(|wake| wake <= now) => {
+                legs.extend(leg);
+                Event::Tick
+            }
+            None => Event::Tick,
+            Some(leg) => Event::Result {
+                leg: leg.number,
+                outcome: Outcome::Answer {
+                    request: request.clone(),
+                    version: leg.version,
+                    shard: leg.shard,
+                    attempt: leg.attempt,
+                    body: body.clone(),
+                },
+                load: LOAD,
+            },
+        };
+    }
+}
+
+fn processor_time() -> Duration {
+    let time = clock_gettime(ClockId::ThreadCPUTime);
+    Duration::new(time.tv_sec.unsigned_abs(), time.tv_nsec as u32)
+}
+
+fn main() -> anyhow::Result<()> {
+    let mut arguments = std::env::args().skip(1);
+    let mut number = |default: u64| {
+        let argument = arguments.next();
+        argument.map_or(Ok(default), |it| it.parse().context("expected a number"))
+    };
+    let (queries, hits) = (number(10_000)?, number(10)?);
+    let hit = |it| format!(r#"{{"id":"design-{it:06}","score":{}.25}}"#, it % 97);
+    let hits: Vec<String> = (0..hits).map(hit).collect();
+    let body = Bytes::from(format!(r#"{{"hits":[{}]}}"#, hits.join(",")));
+    let directory = directory()?;
+    let mut hedge = Hedge::open(hedge::Policy::Adaptive);
+    let start = processor_time();
+    let mut legs = 0_u64;
+    for query in 0..queries {
+        let now = Moment::from_millis(query);
+        legs += u64::from(run(query, now, &directory, &mut hedge, &body));
+    }
+    let spent = processor_time().saturating_sub(start);
+    println!(
+        "{queries} queries, {SHARDS} shards, {legs} legs: {:.3} us of processor time per leg",
+        spent.as_secs_f64() * 1e6 / legs as f64
+    );
+    Ok(())
+}
--- a/src/request/merge.rs
+++ b/src/request/merge.rs
@@ -1,13 +1,12 @@
 //! Merges the hits of all shards into the answer.
 
+use std::borrow::Cow;
 use std::cmp::Ordering;
+use std::collections::BinaryHeap;
 
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-/// Hits are cut back to the limit when this many times the limit have gathered.
-const SLACK: usize = 4;
-
 /// One match of a query.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Hit {
@@ -19,8 +18,17 @@
 
 /// The body of a target's answer.
 #[derive(Debug, Deserialize)]
-struct Body {
-    hits: Vec<Hit>,
+struct Body<'a> {
+    #[serde(borrow)]
+    hits: Vec<Candidate<'a>>,
+}
+
+/// A hit that is not copied out of the body unless it belongs to the best.
+#[derive(Debug, Deserialize)]
+struct Candidate<'a> {
+    #[serde(borrow)]
+    id: Cow<'a, str>,
+    score: f64,
 }
 
 /// The body of an answer is not what targets are specified to send.
@@ -32,7 +40,8 @@
 #[derive(Debug)]
 pub struct Merge {
     limit: usize,
-    hits: Vec<Hit>,
+    /// The worst of the kept hits is on top.
+    best: BinaryHeap<Kept>,
 }
 
 impl Merge {
@@ -40,47 +49,68 @@
     pub const fn open(limit: u32) -> Self {
         Self {
             limit: limit as usize,
-            hits: Vec::new(),
+            best: BinaryHeap::new(),
         }
     }
 
     /// Adds the answer of one shard; a malformed body leaves the merge unchanged.
     pub fn add(&mut self, body: &[u8]) -> Result<(), Malformed> {
-        let mut body: Body = serde_json::from_slice(body)?;
-        if self.hits.is_empty() {
-            self.hits = body.hits;
-        } else {
-            self.hits.append(&mut body.hits);
-        }
-        if self.hits.len() > self.limit.saturating_mul(SLACK) {
-            self.cut();
+        let body: Body<'_> = serde_json::from_slice(body)?;
+        for hit in body.hits {
+            if self.best.len() >= self.limit {
+                let better = |worst: &Kept| order(hit.score, &hit.id, &worst.0).is_lt();
+                if !self.best.peek().is_some_and(better) {
+                    continue;
+                }
+                self.best.pop();
+            }
+            self.best.push(Kept(Hit {
+                id: hit.id.into_owned(),
+                score: hit.score,
+            }));
         }
+        assert!(self.best.len() <= self.limit, "the limit bounds the hits");
         Ok(())
     }
 
     /// Removes all hits, because the query restarts at another version.
     pub fn clear(&mut self) {
-        self.hits.clear();
+        self.best.clear();
     }
 
-    /// Returns the best hits, by descending score and then by id.
+    /// Returns the best hits, by descending score and then by id, and leaves none.
     pub fn finish(&mut self) -> Vec<Hit> {
-        self.cut();
-        let mut hits = std::mem::take(&mut self.hits);
-        hits.sort_unstable_by(before);
-        hits
+        let best = std::mem::take(&mut self.best).into_sorted_vec();
+        best.into_iter().map(|kept| kept.0).collect()
     }
+}
 
-    fn cut(&mut self) {
-        if self.hits.len() > self.limit && self.limit > 0 {
-            self.hits.select_nth_unstable_by(self.limit - 1, before);
-        }
-        self.hits.truncate(self.limit);
+/// A hit in the order of the answer, so that the greatest one is the worst.
+#[derive(Debug)]
+struct Kept(Hit);
+
+impl Ord for Kept {
+    fn cmp(&self, other: &Self) -> Ordering {
+        order(self.0.score, &self.0.id, &other.0)
+    }
+}
+
+impl PartialOrd for Kept {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
     }
 }
 
+impl PartialEq for Kept {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other).is_eq()
+    }
+}
+
+impl Eq for Kept {}
+
 /// Orders by descending score, then by id, so that equal scores have one order.
-fn before(left: &Hit, right: &Hit) -> Ordering {
-    let score = right.score.total_cmp(&left.score);
-    score.then_with(|| left.id.cmp(&right.id))
+fn order(score: f64, id: &str, other: &Hit) -> Ordering {
+    let by_score = other.score.total_cmp(&score);
+    by_score.then_with(|| id.cmp(&other.id))
 }
--- a/src/request/scatter.rs
+++ b/src/request/scatter.rs
@@ -168,7 +168,7 @@
     legs: SmallVec<[u32; 2]>,
     /// Legs that have not ended.
     open: u32,
-    /// Whether every leg that ended was refused because the target does not hold the version.
+    /// Whether some target refused because it does not hold the version.
     gone: bool,
     hedge_at: Moment,
 }
@@ -309,7 +309,7 @@
             progress: Progress::Pending,
             legs: SmallVec::new(),
             open: 0,
-            gone: true,
+            gone: false,
             hedge_at: Moment::NEVER,
         }));
         step.actions.reserve(self.shards.len());
@@ -474,7 +474,7 @@
         self.may_have_run |= !reason.not_run();
         self.unknown |= !reason.not_run() && !idempotent;
         let shard = &mut self.shards[at];
-        shard.gone &= reason == Reason::VersionGone;
+        shard.gone |= reason == Reason::VersionGone;
         if shard.open > 0 || self.unknown {
             return;
         }
@@ -508,7 +508,10 @@
         self.pending -= 1;
     }
 
-    /// Restarts the query once at another version, if no replica of the shard holds the pinned one.
+    /// Restarts the query once at another version, if targets no longer hold the pinned one.
+    ///
+    /// One such refusal is enough once no replica of the shard is left to ask: the others may be down
+    /// while the version is being dropped.
     fn restart(&mut self, at: usize, number: usize, step: &mut Step<'_>) -> bool {
         let index = &self.plan.index;
         let dropped = step.directory.extent(index, self.version).is_none();
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,6 +1,6 @@
 //! Drives one query through `Scatter`, as the process does, and judges each step against the promises.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use redwinggrade::request::choice;
@@ -12,90 +12,94 @@
 use redwinggrade::wire::exchange::Holding;
 use redwinggrade::wire::{Incarnation, Leg, Load, Member, Outcome, Reason, Version};
 
-/// Answers whole, within 200 ms.
-pub fn policy() -> Query {
-    Query {
-        deadline: Duration::from_millis(200),
-        least_coverage: 1.0,
-        straggler_wait: Duration::from_millis(20),
-        hedge_percent: 5.0,
-        priority: 0,
-        idempotent: true,
-        scatter: policy::Scatter::All,
-        limit: 10,
-    }
-}
+/// Wants every shard, within 400 ms.
+pub const POLICY: Query = Query {
+    deadline: Duration::from_millis(400),
+    least_coverage: 1.0,
+    straggler_wait: Duration::from_millis(20),
+    hedge_percent: 5.0,
+    priority: 0,
+    idempotent: true,
+    scatter: policy::Scatter::All,
+    limit: 10,
+};
 
-pub fn gateway() -> Member {
-    let address = "127.0.0.1:1".parse().expect("a valid address");
-    Member {
-        name: "node-1".into(),
-        incarnation: Incarnation(1),
-        peer: address,
-        caller: address,
+fn load(running: u16) -> Load {
+    Load {
+        running,
+        limit: 4,
+        latency_us: 5_000,
+        ..Load::default()
     }
 }
 
 /// Builds `replicas` targets for each shard of each (version, shards); each target holds its shard of
 /// every version that has one, and replica 0 alone is local.
 pub fn targets(versions: &[(u64, u32)], replicas: u32) -> Vec<Target> {
+    let address = "127.0.0.1:1".parse().expect("a valid address");
+    let (name, incarnation) = ("node-1".into(), Incarnation(1));
+    let gateway = Member {
+        name,
+        incarnation,
+        peer: address,
+        caller: address,
+    };
     let most = versions.iter().map(|it| it.1).max().unwrap_or(0);
-    let mut targets = Vec::new();
-    for (shard, replica) in (0..most).flat_map(|it| (0..replicas).map(move |r| (it, r))) {
-        let holdings = versions.iter().filter(|it| shard < it.1);
-        targets.push(Target {
-            name: format!("s{shard}-{replica}").into(),
-            address: "127.0.0.1:9".parse().expect("a valid address"),
-            data_centre: if replica == 0 { "dc1" } else { "dc2" }.into(),
-            index: "tins".into(),
-            service: format!("s{shard}").into(),
-            replica,
-            gateway: Some(gateway()),
-            usable: true,
-            holdings: holdings
-                .map(|&(version, shards)| Holding {
-                    version: Version(version),
-                    shard,
-                    shards,
-                })
-                .collect(),
-            load: Load {
-                queued: 0,
-                running: 1,
-                limit: 4,
-                latency_us: 5_000,
-            },
-        });
-    }
-    targets
+    let target = |shard: u32, replica: u32| Target {
+        name: format!("s{shard}-{replica}").into(),
+        address,
+        data_centre: if replica == 0 { "dc1" } else { "dc2" }.into(),
+        index: "tins".into(),
+        service: format!("s{shard}").into(),
+        replica,
+        gateway: Some(gateway.clone()),
+        usable: true,
+        holdings: versions
+            .iter()
+            .filter(|it| shard < it.1)
+            .map(|&(version, shards)| Holding {
+                version: Version(version),
+                shard,
+                shards,
+            })
+            .collect(),
+        load: load(1),
+    };
+    let shards = (0..most).flat_map(|shard| (0..replicas).map(move |replica| (shard, replica)));
+    shards
+        .map(|(shard, replica)| target(shard, replica))
+        .collect()
 }
 
 /// One query with everything around it.
 pub struct World {
     pub now: Moment,
     pub directory: Directory,
-    pub hedge: Hedge,
+    pub policy: Query,
+    hedge: Hedge,
     scatter: Scatter,
-    pub idempotent: bool,
     /// All legs sent, by number.
     pub legs: Vec<Leg>,
-    /// Legs that were neither answered nor cancelled.
-    open: Vec<u32>,
-    /// How each ended leg ended.
-    pub ended: HashMap<u32, Outcome>,
-    verdict: Option<Verdict>,
+    /// Legs that neither ended nor were cancelled.
+    pub open: Vec<u32>,
+    /// Legs that certainly did not run.
+    not_run: BTreeSet<u32>,
+    /// The shards that answered, by version.
+    answered: HashMap<Version, BTreeSet<u32>>,
+    pub verdict: Option<Verdict>,
 }
 
 impl World {
     pub fn open(targets: Vec<Target>, policy: Query) -> Self {
+        let selection = match policy.scatter {
+            policy::Scatter::All => Selection::All,
+            policy::Scatter::One => Selection::One(0),
+        };
         let plan = Plan {
             request: "q-1".into(),
             index: "tins".into(),
             data_centre: "dc1".into(),
-            selection: match policy.scatter {
-                policy::Scatter::All => Selection::All,
-                policy::Scatter::One => Selection::One(0),
-            },
+            selection,
             policy,
             choice: choice::Policy::LeastWait,
             deadline: Moment::ZERO + policy.deadline,
@@ -103,49 +107,40 @@
         Self {
             now: Moment::ZERO,
             directory: Directory::build(targets),
+            policy,
             hedge: Hedge::open(hedge::Policy::Adaptive),
             scatter: Scatter::open(plan, Moment::ZERO),
-            idempotent: policy.idempotent,
             legs: Vec::new(),
             open: Vec::new(),
-            ended: HashMap::new(),
+            not_run: BTreeSet::new(),
+            answered: HashMap::new(),
             verdict: None,
         }
     }
 
-    pub fn start(&mut self) {
-        self.step(Event::Start);
-    }
-
-    pub fn open_legs(&self) -> Vec<u32> {
-        self.open.clone()
-    }
-
-    pub fn finished(&self) -> bool {
-        self.verdict.is_some()
-    }
-
-    pub fn verdict(&self) -> &Verdict {
-        self.verdict.as_ref().expect("the query has finished")
-    }
-
     pub fn step(&mut self, event: Event) {
-        let actions = self
+        for action in self
             .scatter
-            .step(event, self.now, &self.directory, &mut self.hedge);
-        for action in actions {
+            .step(event, self.now, &self.directory, &mut self.hedge)
+        {
             assert!(
                 self.verdict.is_none(),
                 "something follows the end: {action:?}"
             );
             match action {
                 Action::Send { leg, target } => {
-                    assert_eq!(leg.number as usize, self.legs.len(), "numbers have no gaps");
                     assert!(
                         self.directory.target(target).takes_work(),
                         "P8: unusable target"
                     );
-                    self.check_runs_once(&leg);
+                    assert_eq!(leg.number as usize, self.legs.len(), "numbers have no gaps");
+                    let rival = |it: &&Leg| it.version != leg.version || it.shard == leg.shard;
+                    let safe = self
+                        .legs
+                        .iter()
+                        .filter(rival)
+                        .all(|it| self.not_run.contains(&it.number));
+                    assert!(safe || self.policy.idempotent, "P7: runs twice: {leg:?}");
                     self.open.push(leg.number);
                     self.legs.push(leg);
                 }
@@ -154,22 +149,53 @@
                     assert!(self.open.contains(&leg), "only open legs are cancelled");
                     self.open.retain(|&it| it != leg);
                 }
-                Action::Finish(verdict) => self.verdict = Some(verdict),
+                Action::Finish(verdict) => {
+                    self.judge(&verdict);
+                    self.verdict = Some(verdict);
+                }
             }
         }
+        assert_eq!(self.scatter.wake().is_none(), self.verdict.is_some());
     }
 
-    /// P7: an earlier non-idempotent leg certainly did not run when another one is sent.
-    fn check_runs_once(&self, next: &Leg) {
-        let restarted = self.legs.iter().filter(|it| it.version != next.version);
-        let same = self
-            .legs
-            .iter()
-            .filter(|it| it.version == next.version && it.shard == next.shard);
-        for leg in restarted.chain(same).filter(|_| !self.idempotent) {
-            let not_run =
-                matches!(self.ended.get(&leg.number), Some(Outcome::Failure(it)) if it.not_run());
-            assert!(not_run, "P7: {leg:?} may have run before {next:?}");
+    fn judge(&self, verdict: &Verdict) {
+        assert!(self.open.is_empty(), "a leg outlives its query");
+        match verdict {
+            Verdict::Answer {
+                version,
+                answered,
+                total,
+                hits,
+                ..
+            } => {
+                let shards = &self.answered[version];
+                assert_eq!(*answered as usize, shards.len(), "P2: coverage");
+                let sent = self.legs.iter().filter(|it| it.version == *version);
+                assert!(
+                    sent.map(|it| it.shard).max() < Some(*total),
+                    "P2: denominator"
+                );
+                assert!(f64::from(*answered) >= self.policy.least_coverage * f64::from(*total));
+                let expected = shards
+                    .iter()
+                    .rev()
+                    .map(|&it| (version.to_string(), f64::from(it)));
+                let hits = hits.iter().map(|it| (it.id.clone(), it.score));
+                assert!(
+                    hits.eq(expected),
+                    "P1, P5: hits of another version or answer"
+                );
+            }
+            Verdict::Refusal {
+                reason, not_run, ..
+            } => {
+                assert_eq!(
+                    *not_run,
+                    self.not_run.len() == self.legs.len(),
+                    "P6: {reason}"
+                );
+                assert!(*not_run || !reason.not_run(), "P6: {reason} claims not run");
+            }
         }
     }
 
@@ -183,42 +209,48 @@
         self.now = until;
     }
 
-    /// The answer that the target of a leg owes.
-    pub fn right_answer(&self, leg: u32) -> Outcome {
+    /// The result that a leg's target owes, with one part wrong: 0 none, 1 request, 2 version, 3 shard,
+    /// 4 attempt, 5 body.
+    pub fn result(&self, leg: u32, wrong: u8) -> Outcome {
         let leg = &self.legs[leg as usize];
         let body = format!(
             r#"{{"hits":[{{"id":"{}","score":{}}}]}}"#,
             leg.version, leg.shard
         );
         Outcome::Answer {
-            request: "q-1".into(),
-            version: leg.version,
-            shard: leg.shard,
-            attempt: leg.attempt,
-            body: body.into(),
+            request: if wrong == 1 { "q-2" } else { "q-1" }.into(),
+            version: Version(leg.version.0 + u64::from(wrong == 2)),
+            shard: leg.shard + u32::from(wrong == 3),
+            attempt: leg.attempt + u32::from(wrong == 4),
+            body: body[usize::from(wrong == 5)..].to_owned().into(),
         }
     }
 
+    /// Delivers the right answer of a leg, which may be late or a duplicate.
     pub fn answer(&mut self, leg: u32) {
-        self.end(leg, self.right_answer(leg));
+        if self.open.contains(&leg) {
+            let leg = &self.legs[leg as usize];
+            self.answered
+                .entry(leg.version)
+                .or_default()
+                .insert(leg.shard);
+        }
+        self.end(leg, self.result(leg, 0));
     }
 
     pub fn fail(&mut self, leg: u32, reason: Reason) {
+        if self.open.contains(&leg) && reason.not_run() {
+            self.not_run.insert(leg);
+        }
         self.end(leg, Outcome::Failure(reason));
     }
 
-    /// Delivers the result of a leg, which may be late, crossed or a duplicate.
     pub fn end(&mut self, leg: u32, outcome: Outcome) {
-        if self.open.contains(&leg) {
-            self.ended.insert(leg, outcome.clone());
-            self.open.retain(|&it| it != leg);
-        }
-        let load = Load {
-            queued: 0,
-            running: 1,
-            limit: 4,
-            latency_us: 5_000,
-        };
-        self.step(Event::Result { leg, outcome, load });
+        self.open.retain(|&it| it != leg);
+        self.step(Event::Result {
+            leg,
+            outcome,
+            load: load(1),
+        });
     }
 }
