--- /dev/null
+++ b/tests/request.rs
@@ -0,0 +1,190 @@
+//! Guards the parts of a query: the directory, the choice of version and replica, hedging and merging.
+
+#[path = "support/targets.rs"]
+mod targets;
+
+use std::time::Duration;
+
+use redwinggrade::request::choice::{Policy, Preference, pick};
+use redwinggrade::request::hedge::{self, Hedge};
+use redwinggrade::request::merge::Merge;
+use redwinggrade::request::snapshot;
+use redwinggrade::time::Moment;
+use redwinggrade::version::directory::{Directory, MAX_SHARDS};
+use redwinggrade::wire::Version;
+use rstest::rstest;
+use targets::{load, targets};
+
+/// Guards against a wrong report that makes a partial answer look complete, or that costs memory.
+#[test]
+fn a_directory_survives_wrong_reports() {
+    let mut all = targets(&[(8, 3)], 2);
+    // One target reports its shard with two sizes; the others report what cannot be.
+    all[0].holdings = [all[0].holdings[0]; 2].to_vec();
+    all[0].holdings[1].shards = 5;
+    all[4].holdings[0].shard = 3;
+    all[5].holdings[0].shards = MAX_SHARDS + 1;
+    all[2].usable = false;
+    all[3].gateway = None;
+    all.push(all[1].clone());
+    let directory = Directory::build(all);
+    let extent = directory
+        .extent("tins", Version(8))
+        .expect("a known version");
+    assert_eq!((extent.shards, extent.covered), (5, 1));
+    let held = |shard| directory.replicas("tins", Version(8), shard).len();
+    assert_eq!([0, 1, 2, 3, 4].map(held), [2, 2, 0, 0, 0]);
+}
+
+/// Guards against a version that mixes with another one, or that covers less than it could.
+/// Each version is given as (version, shards, shards with a usable target).
+#[rstest]
+#[case::newest_whole(&[(7, 2, 2), (8, 3, 3)], None, Some(8))]
+#[case::newest_incomplete(&[(7, 2, 2), (8, 3, 2)], None, Some(7))]
+#[case::best_share(&[(7, 2, 1), (8, 3, 2), (9, 4, 1)], None, Some(8))]
+#[case::tie_goes_to_the_newer(&[(7, 2, 1), (8, 4, 2)], None, Some(8))]
+#[case::least_bounds(&[(7, 2, 2), (8, 3, 1)], Some(8), Some(8))]
+#[case::nothing_known(&[], None, None)]
+#[case::nothing_new_enough(&[(7, 2, 2)], Some(8), None)]
+fn the_best_version_is_chosen(
+    #[case] versions: &[(u64, u32, usize)],
+    #[case] least: Option<u64>,
+    #[case] expected: Option<u64>,
+) {
+    let mut all = Vec::new();
+    for &(version, shards, usable) in versions {
+        for (at, mut target) in targets(&[(version, shards)], 1).into_iter().enumerate() {
+            target.name = format!("{version}-{at}").into();
+            target.usable = at < usable;
+            all.push(target);
+        }
+    }
+    let choice = snapshot::choose(&Directory::build(all), "tins", least.map(Version));
+    assert_eq!(choice.map(|it| it.version.0), expected);
+}
+
+const OUT: u16 = 99;
+const NO_GATEWAY: u16 = 98;
+const ASKED: u16 = 97;
+
+/// Guards against a choice that ignores locality, load or usability, or that sends all to one replica.
+/// The cases give the running legs of four replicas, the first two local, and which of them share 300
+/// choices.
+#[rstest]
+#[case::least_wait("least", [3, 1, 0, 0], &[1])]
+#[case::similar_waits("least", [5, 6, 0, 0], &[0, 1])]
+#[case::one_full("least", [16, 1, 0, 0], &[1])]
+#[case::local_full("least", [16, 16, 1, 1], &[2, 3])]
+#[case::all_full("least", [16, 16, 16, 16], &[0, 1])]
+#[case::local_out("least", [OUT, OUT, 1, 1], &[2, 3])]
+#[case::no_gateway("least", [1, NO_GATEWAY, 0, 0], &[0])]
+#[case::asked("least", [ASKED, 1, 0, 0], &[1])]
+#[case::none("least", [OUT; 4], &[])]
+#[case::random("random", [3, 1, 0, 0], &[0, 1])]
+#[case::in_turn("turn", [3, 1, 0, 0], &[0, 1])]
+#[case::in_turn_elsewhere("turn", [OUT, OUT, 0, 0], &[2, 3])]
+fn the_best_replicas_share_the_legs(
+    #[case] policy: &str,
+    #[case] running: [u16; 4],
+    #[case] expected: &[usize],
+) {
+    let mut all = targets(&[(8, 1)], 4);
+    all[1].data_centre = "dc1".into();
+    for (target, running) in all.iter_mut().zip(running) {
+        target.usable = running != OUT;
+        target.gateway.take_if(|_| running == NO_GATEWAY);
+        target.load = load(running);
+    }
+    let directory = Directory::build(all);
+    let replicas = directory.replicas("tins", Version(8), 0);
+    let mut counts = [0; 4];
+    for seed in 0..300 {
+        let policy = match policy {
+            "least" => Policy::LeastWait,
+            "random" => Policy::Random,
+            _ => Policy::RoundRobin(seed),
+        };
+        let preference = Preference {
+            policy,
+            data_centre: "dc1",
+            seed,
+        };
+        let choose = || {
+            pick(&directory, replicas, preference, |it| {
+                it.load.running == ASKED
+            })
+        };
+        assert_eq!(choose(), choose(), "the same seed chooses the same replica");
+        if let Some(key) = choose() {
+            counts[directory.target(key).replica as usize] += 1;
+        }
+    }
+    for (replica, count) in counts.into_iter().enumerate() {
+        let fair = expected.iter().filter(|&&it| it == replica).count() * 300;
+        let fair = fair / expected.len().max(1);
+        assert!(
+            fair.abs_diff(count) <= fair / 5,
+            "replica {replica}: {count}, not {fair}"
+        );
+    }
+}
+
+/// Guards against hedges that come too early or too late: of 200 latencies, `slow` take 40 ms.
+#[rstest]
+#[case::five_percent(9, 4_000, 4_500)]
+#[case::more(11, 40_000, 45_000)]
+fn the_delay_is_the_95th_percentile(#[case] slow: u32, #[case] least: u128, #[case] most: u128) {
+    let mut hedge = Hedge::open(hedge::Policy::Adaptive);
+    assert_eq!(
+        hedge.delay("s"),
+        Some(hedge::DELAY_CEILING),
+        "few latencies"
+    );
+    for at in 0..208 {
+        let millis = if at < slow { 40 } else { 4 };
+        hedge.record_latency(&"s".into(), Duration::from_millis(millis));
+    }
+    let delay = hedge.delay("s").expect("hedges are on").as_micros();
+    assert!((least..=most).contains(&delay), "{delay}");
+}
+
+/// Guards against extra legs that overload targets: 1,000 legs earn 50 hedges on top of the first 10,
+/// and 100 retries on top of the 5 of one second, of which the limit leaves 100.
+#[rstest]
+#[case::quiet(70, 60, 100)]
+#[case::half_way(85, 30, 50)]
+#[case::full(100, 0, 0)]
+#[case::overloaded(300, 0, 0)]
+fn budgets_shrink_with_load(#[case] percent: u16, #[case] hedges: usize, #[case] retries: usize) {
+    let mut hedge = Hedge::open(hedge::Policy::Adaptive);
+    (0..1_000).for_each(|_| hedge.earn(5.0));
+    let mut load = load(percent);
+    load.limit = 100;
+    (0..1_000).for_each(|_| hedge.record_load(&"s".into(), load));
+    let now = Moment::from_millis(1_000);
+    let retried = (0..200).filter(|_| hedge.take_retry("s", now)).count();
+    let hedged = (0..200).filter(|_| hedge.take_hedge("s")).count();
+    assert!(hedged.abs_diff(hedges) <= 1, "{hedged} hedges");
+    assert!(retried.abs_diff(retries) <= 1, "{retried} retries");
+}
+
+/// Guards against an order that depends on arrival, and against a malformed body that counts in part.
+#[rstest]
+#[case::sorted(&[("b", 1.0), ("a", 2.5)], 9, "a b")]
+#[case::ties_go_by_id(&[("b", 1.0), ("c", 1.0), ("a", 1.0)], 2, "a b")]
+#[case::limit(&[("a", 1.0), ("b", 3.0), ("c", 2.0)], 1, "b")]
+#[case::no_hits_wanted(&[("a", 1.0)], 0, "")]
+fn hits_have_one_order(#[case] hits: &[(&str, f64)], #[case] limit: u32, #[case] expected: &str) {
+    let mut merge = Merge::open(limit);
+    for (id, score) in hits {
+        let hit = format!(r#"{{"id":"{id}","score":{score}}}"#);
+        merge
+            .add(format!(r#"{{"hits":[{hit}]}}"#).as_bytes())
+            .expect("well formed");
+        merge
+            .add(format!(r#"{{"hits":[{hit},{{"id":7}}]}}"#).as_bytes())
+            .unwrap_err();
+    }
+    let ids: Vec<String> = merge.finish().into_iter().map(|it| it.id).collect();
+    assert_eq!(ids.join(" "), expected);
+}
