--- a/src/request/once.rs
+++ b/src/request/once.rs
@@ -164,10 +164,7 @@
         if !self.make_room(session, now) {
             return Admission::Refuse(Reason::QueueFull);
         }
-        // Making room may have raised the watermark of this very session.
-        if self.is_below(session, sequence) {
-            return Admission::Refuse(Reason::RequestIdTooOld);
-        }
+        // Making room may have raised the watermark over this id, but it has never run.
         let bytes = self.reservation();
         let entry = Entry {
             digest,
