--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Drives one query through `Scatter`, as the process does, and judges each step against the promises.
 
-use std::collections::HashMap;
+mod targets;
+
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use redwinggrade::request::choice;
@@ -9,93 +11,57 @@
 use redwinggrade::time::Moment;
 use redwinggrade::version::directory::{Directory, Target};
 use redwinggrade::version::policy::{self, Query};
-use redwinggrade::wire::exchange::Holding;
-use redwinggrade::wire::{Incarnation, Leg, Load, Member, Outcome, Reason, Version};
+use redwinggrade::wire::{Leg, Outcome, Reason, Version};
+use serde_json::json;
+pub use targets::{load, targets};
 
-/// Answers whole, within 200 ms.
+/// Wants every shard, within 400 ms.
 pub fn policy() -> Query {
-    Query {
-        deadline: Duration::from_millis(200),
-        least_coverage: 1.0,
-        straggler_wait: Duration::from_millis(20),
-        hedge_percent: 5.0,
-        priority: 0,
-        idempotent: true,
-        scatter: policy::Scatter::All,
-        limit: 10,
-    }
+    serde_json::from_value(json!({
+        "deadline_ms": 400, "least_coverage": 1.0, "straggler_wait_ms": 20, "hedge_percent": 5.0,
+        "priority": 0, "idempotent": true, "scatter": "all", "limit": 10,
+    }))
+    .expect("a valid query kind")
 }
 
-pub fn gateway() -> Member {
-    let address = "127.0.0.1:1".parse().expect("a valid address");
-    Member {
-        name: "node-1".into(),
-        incarnation: Incarnation(1),
-        peer: address,
-        caller: address,
-    }
-}
+/// The version, the answered and all shards of an answer, or whether a refusal says "not run".
+pub type End = Result<(u64, u32, u32), bool>;
 
-/// Builds `replicas` targets for each shard of each (version, shards); each target holds its shard of
-/// every version that has one, and replica 0 alone is local.
-pub fn targets(versions: &[(u64, u32)], replicas: u32) -> Vec<Target> {
-    let most = versions.iter().map(|it| it.1).max().unwrap_or(0);
-    let mut targets = Vec::new();
-    for (shard, replica) in (0..most).flat_map(|it| (0..replicas).map(move |r| (it, r))) {
-        let holdings = versions.iter().filter(|it| shard < it.1);
-        targets.push(Target {
-            name: format!("s{shard}-{replica}").into(),
-            address: "127.0.0.1:9".parse().expect("a valid address"),
-            data_centre: if replica == 0 { "dc1" } else { "dc2" }.into(),
-            index: "tins".into(),
-            service: format!("s{shard}").into(),
-            replica,
-            gateway: Some(gateway()),
-            usable: true,
-            holdings: holdings
-                .map(|&(version, shards)| Holding {
-                    version: Version(version),
-                    shard,
-                    shards,
-                })
-                .collect(),
-            load: Load {
-                queued: 0,
-                running: 1,
-                limit: 4,
-                latency_us: 5_000,
-            },
-        });
-    }
-    targets
+/// What was seen of a query.
+#[derive(Default)]
+pub struct Seen {
+    /// All legs sent, by number.
+    pub legs: Vec<Leg>,
+    /// Legs that neither ended nor were cancelled.
+    pub open: Vec<u32>,
+    /// Legs that certainly did not run.
+    not_run: BTreeSet<u32>,
+    /// The shards that answered, by version.
+    answered: HashMap<Version, BTreeSet<u32>>,
+    pub end: Option<End>,
 }
 
 /// One query with everything around it.
 pub struct World {
-    pub now: Moment,
+    now: Moment,
     pub directory: Directory,
-    pub hedge: Hedge,
+    policy: Query,
+    hedge: Hedge,
     scatter: Scatter,
-    pub idempotent: bool,
-    /// All legs sent, by number.
-    pub legs: Vec<Leg>,
-    /// Legs that were neither answered nor cancelled.
-    open: Vec<u32>,
-    /// How each ended leg ended.
-    pub ended: HashMap<u32, Outcome>,
-    verdict: Option<Verdict>,
+    pub seen: Seen,
 }
 
 impl World {
     pub fn open(targets: Vec<Target>, policy: Query) -> Self {
+        let selection = match policy.scatter {
+            policy::Scatter::All => Selection::All,
+            policy::Scatter::One => Selection::One(0),
+        };
         let plan = Plan {
             request: "q-1".into(),
             index: "tins".into(),
             data_centre: "dc1".into(),
-            selection: match policy.scatter {
-                policy::Scatter::All => Selection::All,
-                policy::Scatter::One => Selection::One(0),
-            },
+            selection,
             policy,
             choice: choice::Policy::LeastWait,
             deadline: Moment::ZERO + policy.deadline,
@@ -103,74 +69,33 @@
         Self {
             now: Moment::ZERO,
             directory: Directory::build(targets),
+            policy,
             hedge: Hedge::open(hedge::Policy::Adaptive),
             scatter: Scatter::open(plan, Moment::ZERO),
-            idempotent: policy.idempotent,
-            legs: Vec::new(),
-            open: Vec::new(),
-            ended: HashMap::new(),
-            verdict: None,
+            seen: Seen::default(),
         }
     }
 
-    pub fn start(&mut self) {
-        self.step(Event::Start);
-    }
-
-    pub fn open_legs(&self) -> Vec<u32> {
-        self.open.clone()
-    }
-
-    pub fn finished(&self) -> bool {
-        self.verdict.is_some()
-    }
-
-    pub fn verdict(&self) -> &Verdict {
-        self.verdict.as_ref().expect("the query has finished")
-    }
-
     pub fn step(&mut self, event: Event) {
-        let actions = self
-            .scatter
-            .step(event, self.now, &self.directory, &mut self.hedge);
-        for action in actions {
-            assert!(
-                self.verdict.is_none(),
-                "something follows the end: {action:?}"
-            );
+        let (now, directory) = (self.now, &self.directory);
+        for action in self.scatter.step(event, now, directory, &mut self.hedge) {
+            assert!(self.seen.end.is_none(), "follows the end: {action:?}");
             match action {
                 Action::Send { leg, target } => {
-                    assert_eq!(leg.number as usize, self.legs.len(), "numbers have no gaps");
-                    assert!(
-                        self.directory.target(target).takes_work(),
-                        "P8: unusable target"
-                    );
-                    self.check_runs_once(&leg);
-                    self.open.push(leg.number);
-                    self.legs.push(leg);
+                    assert!(directory.target(target).takes_work(), "P8: unusable");
+                    self.seen.send(leg, self.policy.idempotent);
                 }
                 Action::Cancel { leg, target } => {
-                    assert_eq!(*target, *self.legs[leg as usize].target);
-                    assert!(self.open.contains(&leg), "only open legs are cancelled");
-                    self.open.retain(|&it| it != leg);
+                    assert_eq!(*target, *self.seen.legs[leg as usize].target);
+                    assert!(self.seen.open.contains(&leg), "cancels an ended leg");
+                    self.seen.open.retain(|&it| it != leg);
+                }
+                Action::Finish(verdict) => {
+                    self.seen.end = Some(self.seen.judge(verdict, &self.policy));
                 }
-                Action::Finish(verdict) => self.verdict = Some(verdict),
             }
         }
-    }
-
-    /// P7: an earlier non-idempotent leg certainly did not run when another one is sent.
-    fn check_runs_once(&self, next: &Leg) {
-        let restarted = self.legs.iter().filter(|it| it.version != next.version);
-        let same = self
-            .legs
-            .iter()
-            .filter(|it| it.version == next.version && it.shard == next.shard);
-        for leg in restarted.chain(same).filter(|_| !self.idempotent) {
-            let not_run =
-                matches!(self.ended.get(&leg.number), Some(Outcome::Failure(it)) if it.not_run());
-            assert!(not_run, "P7: {leg:?} may have run before {next:?}");
-        }
+        assert_eq!(self.scatter.wake().is_none(), self.seen.end.is_some());
     }
 
     /// Advances time and delivers the ticks that the query asks for.
@@ -183,42 +108,105 @@
         self.now = until;
     }
 
-    /// The answer that the target of a leg owes.
-    pub fn right_answer(&self, leg: u32) -> Outcome {
-        let leg = &self.legs[leg as usize];
-        let body = format!(
-            r#"{{"hits":[{{"id":"{}","score":{}}}]}}"#,
-            leg.version, leg.shard
-        );
+    /// The result that a leg's target owes, with one part wrong: 0 none, 1 request, 2 version, 3 shard,
+    /// 4 attempt, 5 body.
+    pub fn result(&self, leg: u32, wrong: u8) -> Outcome {
+        let leg = &self.seen.legs[leg as usize];
+        let hit = json!({"id": leg.version.to_string(), "score": leg.shard});
+        let body = json!({"hits": [hit]}).to_string();
         Outcome::Answer {
-            request: "q-1".into(),
-            version: leg.version,
-            shard: leg.shard,
-            attempt: leg.attempt,
-            body: body.into(),
+            request: if wrong == 1 { "q-2" } else { "q-1" }.into(),
+            version: Version(leg.version.0 + u64::from(wrong == 2)),
+            shard: leg.shard + u32::from(wrong == 3),
+            attempt: leg.attempt + u32::from(wrong == 4),
+            body: body[usize::from(wrong == 5)..].to_owned().into(),
         }
     }
 
+    /// Delivers the right answer of a leg, which may be late or a duplicate.
     pub fn answer(&mut self, leg: u32) {
-        self.end(leg, self.right_answer(leg));
+        if self.seen.open.contains(&leg) {
+            let leg = &self.seen.legs[leg as usize];
+            let answered = self.seen.answered.entry(leg.version).or_default();
+            answered.insert(leg.shard);
+        }
+        self.deliver(leg, self.result(leg, 0));
     }
 
     pub fn fail(&mut self, leg: u32, reason: Reason) {
-        self.end(leg, Outcome::Failure(reason));
+        if self.seen.open.contains(&leg) && reason.not_run() {
+            self.seen.not_run.insert(leg);
+        }
+        self.deliver(leg, Outcome::Failure(reason));
     }
 
-    /// Delivers the result of a leg, which may be late, crossed or a duplicate.
-    pub fn end(&mut self, leg: u32, outcome: Outcome) {
-        if self.open.contains(&leg) {
-            self.ended.insert(leg, outcome.clone());
-            self.open.retain(|&it| it != leg);
+    pub fn deliver(&mut self, leg: u32, outcome: Outcome) {
+        self.seen.open.retain(|&it| it != leg);
+        let load = load(1);
+        self.step(Event::Result { leg, outcome, load });
+    }
+}
+
+impl Seen {
+    fn send(&mut self, leg: Leg, idempotent: bool) {
+        assert_eq!(leg.number as usize, self.legs.len());
+        for it in &self.legs {
+            let here = it.target == leg.target;
+            assert!(!here || it.attempt != leg.attempt, "cancelled together");
+            let same = (it.version, it.shard) == (leg.version, leg.shard);
+            assert!(!same || !here, "asks a replica again");
+            let apart = it.version == leg.version && !same;
+            let harmless = idempotent || apart || self.not_run.contains(&it.number);
+            assert!(harmless, "P7: may run twice: {leg:?}");
         }
-        let load = Load {
-            queued: 0,
-            running: 1,
-            limit: 4,
-            latency_us: 5_000,
+        self.open.push(leg.number);
+        self.legs.push(leg);
+    }
+
+    /// An open leg for the version and shard of another one.
+    pub fn open_like(&self, leg: u32) -> Option<u32> {
+        let place = |leg: u32| {
+            let leg = &self.legs[leg as usize];
+            (leg.version, leg.shard)
         };
-        self.step(Event::Result { leg, outcome, load });
+        let mut open = self.open.iter().copied();
+        open.find(|&it| place(it) == place(leg))
+    }
+
+    fn judge(&self, verdict: Verdict, policy: &Query) -> End {
+        assert!(self.open.is_empty(), "a leg outlives its query");
+        let answers: usize = self.answered.values().map(BTreeSet::len).sum();
+        let unknown = self.legs.len() - self.not_run.len() - answers;
+        let known = policy.idempotent || unknown == 0;
+        if let Verdict::Refusal {
+            reason, not_run, ..
+        } = verdict
+        {
+            let truth = self.not_run.len() == self.legs.len();
+            assert_eq!(not_run, truth, "P6: {reason}");
+            assert!(not_run || !reason.not_run(), "P6: {reason}");
+            assert!(known || reason == Reason::OutcomeUnknown, "P7: {reason}");
+            return Err(not_run);
+        }
+        let Verdict::Answer {
+            version,
+            answered,
+            total,
+            hits,
+            ..
+        } = verdict
+        else {
+            unreachable!("a verdict is a refusal or an answer")
+        };
+        assert!(known, "P7: an outcome is unknown");
+        let shards = &self.answered[&version];
+        assert_eq!(answered as usize, shards.len(), "P2: coverage");
+        let sent = self.legs.iter().filter(|it| it.version == version);
+        assert!(sent.map(|it| it.shard).max() < Some(total), "P2: total");
+        assert!(f64::from(answered) >= policy.least_coverage * f64::from(total));
+        let hits = hits.into_iter().map(|it| (it.id, it.score as u32));
+        let right = shards.iter().rev().map(|&it| (version.to_string(), it));
+        assert!(hits.eq(right), "P1, P5: hits of another version or answer");
+        Ok((version.0, answered, total))
     }
 }
