--- a/standins/src/store/calls.rs
+++ b/standins/src/store/calls.rs
@@ -35,6 +35,14 @@
     pub const fn is_read(self) -> bool {
         matches!(self, Self::Range | Self::TxnRead | Self::Watch)
     }
+
+    /// Tells whether the call changes a lease, which takes effect without a revision.
+    pub(super) const fn is_lease(self) -> bool {
+        matches!(
+            self,
+            Self::LeaseGrant | Self::LeaseKeepalive | Self::LeaseRevoke
+        )
+    }
 }
 
 /// The counts at one moment.
--- a/standins/src/store/mod.rs
+++ b/standins/src/store/mod.rs
@@ -61,7 +61,8 @@
     ///
     /// A call takes effect even if its caller goes away during the first half.
     pub delay_ms: Option<u64>,
-    /// How many of the next writes take effect and get no answer.
+    /// How many of the next writes take effect and get no answer. A transaction that writes nothing,
+    /// because its comparison failed or the taken branch only reads, is answered.
     pub lose_answers: Option<u64>,
     /// Whether answers show only the first half of each value.
     pub truncate_values: Option<bool>,
@@ -175,7 +176,7 @@
         disturbance.expect("no holder of this lock panics")
     }
 
-    /// Runs an operation on the data as of now and wakes the watches if it made a revision.
+    /// Runs an operation on the data as of now and wakes the watches if there is a new revision.
     fn apply<T>(&self, operation: impl FnOnce(&mut data::Data, Instant) -> T) -> T {
         let mut data = self.data();
         let now = Instant::now();
@@ -226,17 +227,21 @@
             if !half.is_zero() {
                 tokio::time::sleep(half).await;
             }
-            service.apply(operation)
+            service.apply(|data, now| {
+                let before = data.revision;
+                let result = operation(data, now);
+                (result, data.revision > before || kind.is_lease())
+            })
         });
         let stop = self.stop.clone();
-        let result = tokio::select! {
+        let (result, wrote) = tokio::select! {
             () = stop.cancelled() => return Err(Cut),
-            result = effect => result.map_err(|_ended| Cut)?,
+            effect = effect => effect.map_err(|_ended| Cut)?,
         };
         if !half.is_zero() {
             tokio::time::sleep(half).await;
         }
-        if !kind.is_read() && result.is_ok() {
+        if wrote && result.is_ok() {
             let mut disturbance = self.disturbance();
             if disturbance.lose_answers > 0 {
                 disturbance.lose_answers -= 1;
--- a/standins/tests/faults.rs
+++ b/standins/tests/faults.rs
@@ -238,6 +238,75 @@
     }
 }
 
+/// Guards against a connection that costs no time, so that reconnecting would look free.
+#[rstest]
+#[tokio::test]
+async fn reads_nothing_until_the_connection_is_set_up() {
+    let mut only = spec("a");
+    only.connections = 1;
+    only.connect_ms = 3_600_000;
+    let targets = open(vec![only]).await;
+    let address = targets.address("a").expect("a target");
+    let requests = [
+        Search::new("r1").spawn(address),
+        Search::new("r2").spawn(address),
+    ];
+    let counted = async {
+        while targets.verdict().expect("a verdict").connection_overruns == 0 {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    };
+    tokio::time::timeout(LONG, counted)
+        .await
+        .expect("one has a place, the other has none");
+    assert_eq!(targets.journal(), []);
+    for request in requests {
+        request.abort();
+    }
+}
+
+/// Guards against slowness that is set and has no effect.
+#[rstest]
+#[case::by_command(0, Some(FOREVER_MS))]
+#[case::while_cold(10, None)]
+#[tokio::test]
+async fn slows_down(#[case] cold_answers: u64, #[case] slow_factor: Option<f64>) {
+    let mut only = spec("a");
+    only.cold_answers = cold_answers;
+    only.cold_factor = FOREVER_MS;
+    let targets = open(vec![only]).await;
+    command(&targets, "a", |command| command.slow_factor = slow_factor).await;
+    let mut request = Search::new("slow");
+    request.deadline_ms = 300;
+    let answer = request.send(targets.address("a").expect("a target")).await;
+    assert_eq!(answer.expect("an answer").status(), 504);
+}
+
+/// Guards against an overrun that does not slow the target down.
+#[rstest]
+#[tokio::test]
+async fn slows_down_after_too_high_a_rate_while_cold() {
+    let mut only = spec("a");
+    only.cold_answers = 1_000;
+    only.cold_rate = 1;
+    only.cold_overrun = Overrun::Slow {
+        factor: FOREVER_MS,
+        for_ms: 3_600_000,
+    };
+    let targets = open(vec![only]).await;
+    let address = targets.address("a").expect("a target");
+    let mut request = Search::new("r");
+    request.deadline_ms = 1_000;
+    for _ in 0..100 {
+        let answer = request.send(address).await.expect("an answer");
+        if targets.journal().iter().any(|entry| entry.overrun) {
+            assert_eq!(answer.status(), 504);
+            return;
+        }
+    }
+    panic!("two of the requests come within a second");
+}
+
 /// Guards against a hanging target that answers or that starts work.
 #[rstest]
 #[tokio::test]
--- a/standins/tests/store.rs
+++ b/standins/tests/store.rs
@@ -134,6 +134,26 @@
     );
 }
 
+/// Guards against a fault that is spent on a transaction without an effect.
+#[rstest]
+#[tokio::test]
+async fn a_failed_comparison_is_answered_while_answers_are_lost() {
+    let store = open().await;
+    let address = store.address();
+    post(address, "/admin/faults", json!({ "lose_answers": 1 })).await;
+    let create = |version: &str| {
+        json!({
+            "compare": [{ "key": encode("k"), "target": "VERSION", "version": version }],
+            "success": [{ "request_put": { "key": encode("k"), "value": encode("v") } }],
+        })
+    };
+    post(address, "/v3/kv/txn", create("1")).await;
+    call_json(address, "POST", "/v3/kv/txn", &create("0"))
+        .await
+        .expect_err("the answer to the first write is lost");
+    assert_eq!(get(address, "k").await, Some("v".to_owned()));
+}
+
 /// Guards against a read that misses or repeats the records changed since the last read.
 #[rstest]
 #[tokio::test]
