--- a/src/connection/target.rs
+++ b/src/connection/target.rs
@@ -3,8 +3,11 @@
 //! Each connection is one task, which drives the protocol and runs one call at a time. The task tells
 //! a request that was never written from one that may have run; see `docs/design.md`, section 6.
 
+use std::future::poll_fn;
 use std::net::SocketAddr;
-use std::pin::pin;
+use std::pin::{Pin, pin};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -30,6 +33,10 @@
 /// The longest answer of a target, in bytes; it bounds the memory that one slot can take.
 pub const ANSWER_MAX: usize = 1 << 20;
 
+/// Handovers between call and connection per run of their task: an answer takes three, for its
+/// head, its body and its end.
+const HANDOVERS: usize = 3;
+
 /// Read buffer of one connection, in bytes; usual answers fit, and many connections stay open.
 const READ_BUFFER: usize = 16 << 10;
 
@@ -286,7 +293,7 @@
     async fn drive<C>(
         &mut self,
         sender: &mut http1::SendRequest<Full<Bytes>>,
-        connection: C,
+        mut connection: Pin<&mut C>,
         ask: &Ask,
     ) -> Ending
     where
@@ -299,41 +306,54 @@
                 generation: None,
             });
         }
-        let mut connection = pin!(connection);
         let mut ended = false;
+        let answering = AtomicBool::new(false);
         let call = async {
-            let reply = exchange(sender, self.target.request(ask), ask).await;
+            let reply = exchange(sender, self.target.request(ask), ask, &answering).await;
             // A call on a connection that is not ready would be given back as not sent.
             let ready = sender.ready().await.is_ok();
             (reply, ready)
         };
         let mut call = pin!(call);
-        let limit = async {
-            if is_search {
-                // The gate watches the deadlines of searches.
-                std::future::pending::<()>().await;
-            }
-            tokio::time::sleep(CONTROL_TIMEOUT).await;
-        };
-        let mut limit = pin!(limit);
-        loop {
-            tokio::select! {
-                biased;
-                _ = &mut connection, if !ended => ended = true,
-                (reply, ready) = &mut call => {
-                    let mismatched = matches!(reply.said, Said::Lost(Reason::MismatchedAnswer));
-                    // After a mismatch, the next answer may belong to an earlier request, too.
-                    return if ready && !ended && !mismatched {
-                        Ending::Idle(reply)
-                    } else {
-                        Ending::Ended(reply)
-                    };
+        // Call and connection hand data to each other several times per answer. Polling them in
+        // turn here costs less than a new run of the task for each handover.
+        let exchange = poll_fn(|cx| {
+            for _ in 0..HANDOVERS {
+                if let Poll::Ready(done) = call.as_mut().poll(cx) {
+                    return Poll::Ready(done);
                 }
-                () = closed(&mut self.calls) => return Ending::Dropped,
-                () = &mut limit => {
-                    return Ending::Ended(Reply { said: Said::Failed, generation: None });
+                if !ended {
+                    ended = connection.as_mut().poll(cx).is_ready();
+                }
+                if !answering.load(Ordering::Relaxed) {
+                    // Either the head of the answer has come by now, or nothing more will.
+                    let done = call.as_mut().poll(cx);
+                    if done.is_ready() || !answering.load(Ordering::Relaxed) {
+                        return done;
+                    }
                 }
             }
+            call.as_mut().poll(cx)
+        });
+        let done = tokio::select! {
+            biased;
+            done = exchange => Some(done),
+            () = closed(&mut self.calls) => return Ending::Dropped,
+            // The gate watches the deadlines of searches.
+            () = tokio::time::sleep(CONTROL_TIMEOUT), if !is_search => None,
+        };
+        let Some((reply, ready)) = done else {
+            return Ending::Ended(Reply {
+                said: Said::Failed,
+                generation: None,
+            });
+        };
+        let mismatched = matches!(reply.said, Said::Lost(Reason::MismatchedAnswer));
+        // After a mismatch, the next answer may belong to an earlier request, too.
+        if ready && !ended && !mismatched {
+            Ending::Idle(reply)
+        } else {
+            Ending::Ended(reply)
         }
     }
 }
@@ -377,6 +397,7 @@
     sender: &mut http1::SendRequest<Full<Bytes>>,
     request: Request<Full<Bytes>>,
     ask: &Ask,
+    answering: &AtomicBool,
 ) -> Reply {
     let lost = || match ask {
         Ask::Search(_) => Said::Lost(Reason::ConnectionLost),
@@ -394,6 +415,7 @@
             };
         }
     };
+    answering.store(true, Ordering::Relaxed);
     let (head, body) = response.into_parts();
     let generation = head.headers.get(GENERATION).map(parse_generation);
     let said = match Limited::new(body, ANSWER_MAX).collect().await {
