Keep the header texts of small numbers and of the last version

Cause: each header value made from a number allocated twice, three to four times per request. Change: texts below 1,024 are kept for the process, the version's per connection.

--- a/src/connection/target.rs
+++ b/src/connection/target.rs
@@ -6,6 +6,7 @@
 use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
+use std::sync::LazyLock;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::Poll;
 use std::time::Duration;
@@ -153,6 +154,7 @@
             calls,
             may_send,
             signal,
+            version: None,
         };
         tokio::spawn(task.run(first));
         Self { calls: sender }
@@ -186,7 +188,12 @@
         self.address
     }
 
-    fn request(&self, ask: &Ask) -> Request<Full<Bytes>> {
+    /// Builds the request; `version` keeps the header of the version that was asked for last.
+    fn request(
+        &self,
+        ask: &Ask,
+        version: &mut Option<(Version, HeaderValue)>,
+    ) -> Request<Full<Bytes>> {
         let (method, path, body) = match ask {
             Ask::Search(search) => (Method::POST, "/search", search.body.clone()),
             Ask::Cancel { .. } => (Method::POST, "/cancel", Bytes::new()),
@@ -202,15 +209,19 @@
             Ask::Search(search) => {
                 headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
                 headers.insert(REQUEST_ID, search.request.clone());
-                headers.insert(ATTEMPT, search.attempt.into());
-                headers.insert(INDEX_VERSION, search.version.0.into());
-                headers.insert(SHARD, search.shard.into());
+                headers.insert(ATTEMPT, decimal(search.attempt.into()));
+                let (_, text) = match version.take() {
+                    Some(last) if last.0 == search.version => version.insert(last),
+                    _ => version.insert((search.version, search.version.0.into())),
+                };
+                headers.insert(INDEX_VERSION, text.clone());
+                headers.insert(SHARD, decimal(search.shard.into()));
                 let remaining = u64::try_from(search.remaining.as_millis()).unwrap_or(u64::MAX);
-                headers.insert(DEADLINE_MS, remaining.max(1).into());
+                headers.insert(DEADLINE_MS, decimal(remaining.max(1)));
             }
             Ask::Cancel { request, attempt } => {
                 headers.insert(REQUEST_ID, request.clone());
-                headers.insert(ATTEMPT, (*attempt).into());
+                headers.insert(ATTEMPT, decimal((*attempt).into()));
             }
             Ask::Status => {}
         }
@@ -218,12 +229,31 @@
     }
 }
 
+/// Returns the header value of a number.
+///
+/// Attempts, shards and deadlines are small numbers, whose texts are kept for the life of the
+/// process; making a header value of a new text allocates twice.
+fn decimal(number: u64) -> HeaderValue {
+    /// Numbers below this one are kept; their texts take 4 KB.
+    const KEPT: u64 = 1_024;
+    static TEXTS: LazyLock<Vec<&'static str>> = LazyLock::new(|| {
+        (0..KEPT)
+            .map(|number| &*number.to_string().leak())
+            .collect()
+    });
+    let kept = usize::try_from(number)
+        .ok()
+        .and_then(|index| TEXTS.get(index));
+    kept.map_or_else(|| number.into(), |text| HeaderValue::from_static(text))
+}
+
 /// The task of one connection.
 struct Task<T, M, S> {
     target: Target,
     calls: mpsc::Receiver<(T, Ask)>,
     may_send: M,
     signal: S,
+    version: Option<(Version, HeaderValue)>,
 }
 
 /// How one call on a connection ended.
@@ -308,8 +338,9 @@
         }
         let mut ended = false;
         let answering = AtomicBool::new(false);
+        let request = self.target.request(ask, &mut self.version);
         let call = async {
-            let reply = exchange(sender, self.target.request(ask), ask, &answering).await;
+            let reply = exchange(sender, request, ask, &answering).await;
             // A call on a connection that is not ready would be given back as not sent.
             let ready = sender.ready().await.is_ok();
             (reply, ready)
