Judge suspicion, pacing and abandoned work more strictly

Cause: a target that turns cold in place answers slower and with errors, but with the same generation; it counts starts in any span of one second; its work outlives a lost connection. Change: a suspicion ends after two answers at the usual speed and becomes a cold start after a second failure; cold starts are paced 10% below the rate; an abandoned job holds its slot until 100 ms after its deadline, at most 2 s; a search is not written after its deadline.

--- a/src/connection/peer.rs
+++ b/src/connection/peer.rs
@@ -293,6 +293,7 @@
         .initial_stream_window_size(STREAM_WINDOW)
         .initial_connection_window_size(CONNECTION_WINDOW)
         .max_send_buf_size(SEND_BUFFER)
+        .max_concurrent_reset_streams(STREAMS_MAX as usize)
         .keep_alive_interval(PING)
         .keep_alive_timeout(PING)
         .handshake(TokioIo::new(stream))
@@ -479,6 +480,9 @@
         .initial_stream_window_size(STREAM_WINDOW)
         .initial_connection_window_size(CONNECTION_WINDOW)
         .max_send_buf_size(SEND_BUFFER)
+        // Cancelled batches are normal between nodes, so many resets are no sign of an attack.
+        .max_pending_accept_reset_streams(STREAMS_MAX as usize)
+        .max_local_error_reset_streams(None)
         .keep_alive_interval(PING * 10)
         .keep_alive_timeout(PING * 10)
         .serve_connection(TokioIo::new(stream), service);
--- a/src/connection/target.rs
+++ b/src/connection/target.rs
@@ -22,6 +22,7 @@
 use tokio::sync::mpsc;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::time::Moment;
 use crate::wire::exchange::Holding;
 use crate::wire::{Outcome, Reason, Version};
 
@@ -46,6 +47,7 @@
 const INDEX_VERSION: HeaderName = HeaderName::from_static("index-version");
 const SHARD: HeaderName = HeaderName::from_static("shard");
 const DEADLINE_MS: HeaderName = HeaderName::from_static("deadline-ms");
+const IDEMPOTENT: HeaderName = HeaderName::from_static("idempotent");
 const GENERATION: HeaderName = HeaderName::from_static("generation");
 
 /// One search for a target.
@@ -59,8 +61,12 @@
     pub version: Version,
     /// The shard that the answer must be for.
     pub shard: u32,
+    /// Whether the work may be run more than once.
+    pub idempotent: bool,
     /// The time left for the answer.
     pub remaining: Duration,
+    /// The moment by which the answer must be there; the search is not sent later.
+    pub deadline: Moment,
     /// The query.
     pub body: Bytes,
 }
@@ -90,11 +96,11 @@
     Refused(Reason),
     /// The search may have run, but has no usable answer.
     Lost(Reason),
-    /// The target confirmed that the search does not run any longer.
-    Cancelled,
     /// The target described itself.
     Status(Status),
-    /// The control call failed, which says nothing about searches.
+    /// The target took note of a cancellation; the search itself gets its own answer.
+    Cancelled,
+    /// The control call failed.
     Failed,
 }
 
@@ -114,6 +120,8 @@
     pub generation: u64,
     /// Whether the target says that it takes work.
     pub serving: bool,
+    /// Whether the target says that it is cold.
+    pub cold: bool,
     /// What the target says that it holds.
     pub holdings: Vec<Holding>,
 }
@@ -141,18 +149,18 @@
 {
     /// Opens a connection to `target`, beginning with `first` if there is one.
     ///
-    /// `may_send` is asked immediately before each search is written, and `signal` is called for
-    /// every change; the last call is [`Signal::Closed`], unless the handle was dropped before.
-    pub fn open<M, S>(target: &Target, first: Option<(T, Ask)>, may_send: M, signal: S) -> Self
+    /// `check` is called with the deadline immediately before each search is written, and its error
+    /// refuses the search. `signal` is called for every change; the last call is [`Signal::Closed`], unless the handle was dropped before.
+    pub fn open<M, S>(target: &Target, first: Option<(T, Ask)>, check: M, signal: S) -> Self
     where
-        M: Fn() -> bool + Send + Sync + 'static,
+        M: Fn(Moment) -> Result<(), Reason> + Send + Sync + 'static,
         S: Fn(Signal<T>) + Send + Sync + 'static,
     {
         let (sender, calls) = mpsc::channel(1);
         let task = Task {
             target: target.clone(),
             calls,
-            may_send,
+            check,
             signal,
             version: None,
         };
@@ -218,6 +226,9 @@
                 headers.insert(SHARD, decimal(search.shard.into()));
                 let remaining = u64::try_from(search.remaining.as_millis()).unwrap_or(u64::MAX);
                 headers.insert(DEADLINE_MS, decimal(remaining.max(1)));
+                if !search.idempotent {
+                    headers.insert(IDEMPOTENT, HeaderValue::from_static("false"));
+                }
             }
             Ask::Cancel { request, attempt } => {
                 headers.insert(REQUEST_ID, request.clone());
@@ -251,7 +262,7 @@
 struct Task<T, M, S> {
     target: Target,
     calls: mpsc::Receiver<(T, Ask)>,
-    may_send: M,
+    check: M,
     signal: S,
     version: Option<(Version, HeaderValue)>,
 }
@@ -269,7 +280,7 @@
 impl<T, M, S> Task<T, M, S>
 where
     T: Send + 'static,
-    M: Fn() -> bool + Send + Sync + 'static,
+    M: Fn(Moment) -> Result<(), Reason> + Send + Sync + 'static,
     S: Fn(Signal<T>) + Send + Sync + 'static,
 {
     async fn run(mut self, first: Option<(T, Ask)>) {
@@ -330,9 +341,11 @@
         C: Future<Output = hyper::Result<()>>,
     {
         let is_search = matches!(ask, Ask::Search(_));
-        if is_search && !(self.may_send)() {
+        if let Ask::Search(search) = ask
+            && let Err(reason) = (self.check)(search.deadline)
+        {
             return Ending::Idle(Reply {
-                said: Said::Refused(Reason::NoPermit),
+                said: Said::Refused(reason),
                 generation: None,
             });
         }
@@ -529,6 +542,7 @@
         generation,
         // A target that is neither draining nor stopping takes work, whatever it calls its state.
         serving: !matches!(body.state.as_str(), "draining" | "leaving" | "stopping"),
+        cold: body.state == "cold",
         holdings: body.versions,
     })
 }
--- a/src/process/gate.rs
+++ b/src/process/gate.rs
@@ -20,11 +20,15 @@
     pub struct JobKey;
 }
 
-/// The time for which an abandoned job holds its slot if the target confirms nothing.
-///
-/// The target may still work on the job. After this time it has either reacted to the cancellation
-/// and the deadline, or it is stuck, and the slot is needed to find out whether it recovers.
-pub const ABANDONED_HOLD: Duration = Duration::from_millis(500);
+/// The time after its deadline for which an abandoned job holds its slot if the target does not
+/// answer. Targets stop at the deadline that the request carries, and an answer travels some
+/// milliseconds.
+pub const ABANDONED_MARGIN: Duration = Duration::from_millis(100);
+
+/// The longest time for which an abandoned job holds its slot. A target that neither answers nor
+/// reacts to the cancellation for that long is stuck, and the slot is needed to find out whether it
+/// recovers.
+pub const ABANDONED_HOLD: Duration = Duration::from_secs(2);
 
 /// One request for the gate's target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -117,6 +121,14 @@
     abandoned: bool,
 }
 
+impl Running {
+    /// Keeps the slot occupied for a bounded time, because the target may still work on the job.
+    fn abandon(&mut self, now: Moment) {
+        self.abandoned = true;
+        self.until = (self.until.max(now) + ABANDONED_MARGIN).min(now + ABANDONED_HOLD);
+    }
+}
+
 /// The gate of one owned target.
 #[derive(Debug, Clone)]
 pub struct Gate {
@@ -266,15 +278,16 @@
                 self.ramp.refuse(reason, started, now);
             }
             Completion::Lost(reason @ (Reason::TargetError | Reason::MismatchedAnswer)) => {
-                // The target answered, so it no longer works on the job.
-                self.running.swap_remove(index);
-                self.ramp.lose(reason, started, now);
+                // The target answered, so it no longer works on the job. An error is the usual
+                // answer to a cancelled search.
+                if !self.running.swap_remove(index).abandoned {
+                    self.ramp.lose(reason, started, now);
+                }
             }
             Completion::Lost(reason) => {
                 let running = &mut self.running[index];
                 if !running.abandoned {
-                    running.abandoned = true;
-                    running.until = now + ABANDONED_HOLD;
+                    running.abandon(now);
                 }
                 self.ramp.lose(reason, started, now);
             }
@@ -291,8 +304,7 @@
         // Non-idempotent work that has started is left to finish, because cancelling it would make
         // an outcome unknown that the at-most-once table can still learn.
         if let Some(running) = running.filter(|running| running.idempotent && !running.abandoned) {
-            running.abandoned = true;
-            running.until = now + ABANDONED_HOLD;
+            running.abandon(now);
             actions.push(Action::Abort(key));
         }
     }
@@ -308,8 +320,7 @@
                 actions.push(Action::Release(running.key));
                 return false;
             }
-            running.abandoned = true;
-            running.until = now + ABANDONED_HOLD;
+            running.abandon(now);
             ramp.lose(Reason::Timeout, running.started, now);
             actions.push(Action::Abort(running.key));
             true
--- a/src/process/gateway.rs
+++ b/src/process/gateway.rs
@@ -82,6 +82,8 @@
     /// Work may be dispatched before this moment, in microseconds of the clock.
     permit_until: AtomicU64,
     owned: ArcSwap<HashMap<String, Entry>>,
+    /// Held while the set of owned targets changes.
+    owning: tokio::sync::Mutex<()>,
     /// Actors of targets that were given up while work still ran.
     closing: Mutex<HashMap<(String, SocketAddr), ActorRef<Message>>>,
     board: Mutex<Board>,
@@ -115,12 +117,8 @@
             return;
         }
         for actor in &self.actors {
-            let cancel = Message::Cancel {
-                request: self.header.request.clone(),
-                leg: None,
-            };
             // An actor that has ended has no job left to cancel.
-            let _ended = actor.cast(cancel);
+            let _ended = actor.cast(Message::CancelBatch(Arc::clone(&self.header)));
         }
     }
 }
@@ -146,6 +144,7 @@
                 metrics,
                 permit_until: AtomicU64::new(0),
                 owned: ArcSwap::default(),
+                owning: tokio::sync::Mutex::default(),
                 closing: Mutex::default(),
                 board: Mutex::default(),
             }),
@@ -217,17 +216,18 @@
         };
         if let Ok(request) = HeaderValue::try_from(request) {
             // An actor that has ended has no job left to cancel.
-            let _ended = entry.actor.cast(Message::Cancel {
-                request,
-                leg: Some(leg),
-            });
+            let _ended = entry.actor.cast(Message::Cancel { request, leg });
         }
     }
 
     /// Takes over `targets` and gives up all others.
     ///
+    /// A changed `valid_from` means that another node owned the target in between, so the target
+    /// counts as cold; it must stay the same while the ownership continues.
+    ///
     /// Work that runs at a target that is given up finishes; what is queued is refused.
     pub async fn own(&self, targets: Vec<Owned>) -> anyhow::Result<()> {
+        let _alone = self.common.owning.lock().await;
         let before = self.common.owned.load_full();
         let mut after = HashMap::with_capacity(targets.len());
         for owned in targets {
@@ -306,8 +306,16 @@
         Moment::from_micros(self.permit_until.load(Ordering::Acquire))
     }
 
-    fn may_dispatch(&self) -> bool {
-        self.clock.now() < self.permit_until()
+    /// Tells why a search must not be written now, if there is a reason.
+    fn check(&self, deadline: Moment) -> Result<(), Reason> {
+        let now = self.clock.now();
+        if now >= self.permit_until() {
+            Err(Reason::NoPermit)
+        } else if now >= deadline {
+            Err(Reason::Expired)
+        } else {
+            Ok(())
+        }
     }
 
     /// Lets the actor of a target that is given up finish its work and end.
@@ -354,10 +362,24 @@
     shard: u32,
     /// Taken when the leg gets its result.
     reply: Option<mpsc::UnboundedSender<Frame>>,
+    /// Whether the search was given to a connection.
+    dispatched: bool,
     /// Whether the search was given back unsent by a kept connection before.
     resent: bool,
 }
 
+impl Drop for Work {
+    /// Gives the leg its frame if its actor ended before the leg had a result.
+    fn drop(&mut self) {
+        let reason = if self.dispatched {
+            Reason::ConnectionLost
+        } else {
+            Reason::NotOwner
+        };
+        self.send(Outcome::Failure(reason), Load::default());
+    }
+}
+
 impl Work {
     fn new(leg: &Leg, header: Arc<Header>, reply: mpsc::UnboundedSender<Frame>) -> Self {
         Self {
@@ -367,17 +389,23 @@
             version: leg.version,
             shard: leg.shard,
             reply: Some(reply),
+            dispatched: false,
             resent: false,
         }
     }
 
     fn answer(&mut self, outcome: Outcome, load: Load, metrics: &Metrics) {
+        if let (Outcome::Failure(reason), Some(_)) = (&outcome, &self.reply) {
+            metrics.leg_failure(*reason);
+        }
+        self.send(outcome, load);
+    }
+
+    /// Sends the frame of the leg, unless it was sent before.
+    fn send(&mut self, outcome: Outcome, load: Load) {
         let Some(reply) = self.reply.take() else {
             return;
         };
-        if let Outcome::Failure(reason) = outcome {
-            metrics.leg_failure(reason);
-        }
         self.header.missing.fetch_sub(1, Ordering::Release);
         // A coordinator that no longer listens has no use for the result.
         let _unheard = reply.send(Frame {
@@ -397,7 +425,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Purpose {
     Search(JobKey),
-    Cancel(JobKey),
+    Cancel,
     Status,
 }
 
@@ -405,10 +433,13 @@
 #[derive(Debug)]
 enum Message {
     Offer(Work),
+    /// Cancels one leg of a request.
     Cancel {
         request: HeaderValue,
-        leg: Option<u32>,
+        leg: u32,
     },
+    /// Cancels all legs of a batch.
+    CancelBatch(Arc<Header>),
     Link(LinkKey, Signal<Purpose>),
     Own(Owned),
     Disown,
@@ -433,12 +464,8 @@
     connection: Connection<Purpose>,
     /// What the connection is doing.
     purpose: Option<Purpose>,
-    /// Whether the connection was kept from an earlier call.
-    kept: bool,
-    /// Whether the connection was established.
+    /// Whether the connection is known to have been established.
     opened: bool,
-    /// Whether the last sweep found that nobody waits for the connection's search any longer.
-    orphan: bool,
 }
 
 /// The state of an actor.
@@ -538,7 +565,14 @@
         let now = state.common.clock.now();
         match message {
             Message::Offer(work) => state.offer(work, now),
-            Message::Cancel { request, leg } => state.cancel(&request, leg, now),
+            Message::Cancel { request, leg } => {
+                state.cancel(now, |work| {
+                    work.header.request == request && work.leg == leg
+                });
+            }
+            Message::CancelBatch(header) => {
+                state.cancel(now, |work| Arc::ptr_eq(&work.header, &header));
+            }
             Message::Link(key, signal) => state.signal(key, signal, now),
             Message::Own(owned) => state.own(owned, now),
             Message::Disown => {
@@ -626,10 +660,11 @@
         self.step(Event::Offer(job), now);
     }
 
-    fn cancel(&mut self, request: &HeaderValue, leg: Option<u32>, now: Moment) {
-        let matching = self.jobs.iter().filter(|(_, work)| {
-            work.header.request == *request && leg.is_none_or(|leg| leg == work.leg)
-        });
+    fn cancel<F>(&mut self, now: Moment, matches: F)
+    where
+        F: Fn(&Work) -> bool,
+    {
+        let matching = self.jobs.iter().filter(|(_, work)| matches(work));
         let matching: SmallVec<[JobKey; 4]> = matching.map(|(key, _)| key).collect();
         for key in matching {
             self.step(Event::Cancel(key), now);
@@ -637,15 +672,18 @@
     }
 
     fn dispatch(&mut self, key: JobKey, now: Moment) {
-        let Some(work) = self.jobs.get(key) else {
+        let Some(work) = self.jobs.get_mut(key) else {
             return;
         };
+        work.dispatched = true;
         let search = Ask::Search(Search {
             request: work.header.request.clone(),
             attempt: work.attempt,
             version: work.version,
             shard: work.shard,
+            idempotent: work.header.idempotent,
             remaining: now.until(work.header.deadline),
+            deadline: work.header.deadline,
             body: work.header.body.clone(),
         });
         self.last_search = now;
@@ -666,7 +704,6 @@
             match link.connection.call(purpose, ask) {
                 Ok(()) => {
                     link.purpose = Some(purpose);
-                    link.kept = true;
                     return Ok(());
                 }
                 // The signal that this connection has ended is on its way.
@@ -693,16 +730,14 @@
             connection: Connection::open(
                 target,
                 first,
-                move || common.may_dispatch(),
+                move |deadline| common.check(deadline),
                 move |signal| {
                     // The actor ends before its connections only when nothing runs.
                     let _ended = myself.cast(Message::Link(key, signal));
                 },
             ),
             purpose,
-            kept: false,
             opened: false,
-            orphan: false,
         });
     }
 
@@ -726,24 +761,22 @@
                 self.replied(purpose, reply, now);
             }
             Signal::Closed(call) => {
-                let link = self.links.remove(key);
+                let opened = self.links.remove(key).is_some_and(|link| link.opened);
                 self.idle.retain(|idle| *idle != key);
-                let Some((purpose, reply)) = call else {
-                    // The target closed an idle connection, or could not be reached.
-                    self.reachable &= link.is_none_or(|link| link.opened);
-                    if self.links.is_empty() {
-                        self.step(Event::Suspect, now);
-                    }
-                    return;
-                };
-                let kept = link.is_some_and(|link| link.kept);
-                if kept && self.resend(purpose, &reply, now) {
-                    return;
-                }
-                if matches!(reply.said, Said::Refused(Reason::NotSent)) {
+                let unanswered = call.as_ref().is_none_or(|(_, reply)| {
+                    matches!(reply.said, Said::Failed | Said::Refused(Reason::NotSent))
+                });
+                if unanswered && opened {
+                    // A target that ends connections may have been restarted.
+                    self.step(Event::Suspect, now);
+                } else if unanswered {
                     self.reachable = false;
                 }
-                self.replied(purpose, reply, now);
+                if let Some((purpose, reply)) = call
+                    && !(opened && self.resend(purpose, &reply, now))
+                {
+                    self.replied(purpose, reply, now);
+                }
             }
         }
         self.preopen(now);
@@ -772,11 +805,8 @@
     fn replied(&mut self, purpose: Purpose, reply: Reply, now: Moment) {
         match purpose {
             Purpose::Search(key) => self.finish(key, reply.said, reply.generation, now),
-            Purpose::Cancel(key) => {
-                if matches!(reply.said, Said::Cancelled) {
-                    self.finish(key, Said::Cancelled, None, now);
-                }
-            }
+            // The search itself is answered when it has ended; only that frees its slot.
+            Purpose::Cancel => {}
             Purpose::Status => match reply.said {
                 Said::Status(status) => self.take_status(status, now),
                 // A search that was answered since then outweighs a failed status call.
@@ -807,10 +837,9 @@
                 (Outcome::Failure(reason), Completion::Refused(reason))
             }
             Said::Lost(reason) => (Outcome::Failure(reason), Completion::Lost(reason)),
-            Said::Cancelled | Said::Status(_) | Said::Failed => (
-                Outcome::Failure(Reason::Timeout),
-                Completion::Refused(Reason::Cancelled),
-            ),
+            Said::Cancelled | Said::Status(_) | Said::Failed => {
+                unreachable!("a search gets the answer to a search")
+            }
         };
         self.step(Event::Finished { key, result }, now);
         self.answer(work, outcome);
@@ -831,12 +860,24 @@
             load,
             &self.common.metrics,
         );
+        let busy = Some(Purpose::Search(key));
+        if self
+            .links
+            .iter()
+            .any(|(_, link)| link.purpose == busy && !link.opened)
+        {
+            // The connection may still be opening; without it, the search is not sent late.
+            self.links.retain(|_, link| link.purpose != busy);
+        }
+        let Some(work) = self.jobs.get(key) else {
+            return;
+        };
         let cancel = Ask::Cancel {
             request: work.header.request.clone(),
             attempt: work.attempt,
         };
         // Without a free connection, the hold of the slot ends by time.
-        let _busy = self.call(Purpose::Cancel(key), cancel);
+        let _busy = self.call(Purpose::Cancel, cancel);
     }
 
     fn own(&mut self, owned: Owned, now: Moment) {
@@ -857,18 +898,8 @@
         self.published = None;
     }
 
-    /// Asks for the target's status, and drops connections whose search was given up long ago.
+    /// Asks for the target's status.
     fn poll(&mut self, now: Moment) {
-        let jobs = &self.jobs;
-        self.links.retain(|_, link| {
-            let given_up = match link.purpose {
-                Some(Purpose::Search(key)) => !jobs.contains_key(key),
-                _ => false,
-            };
-            let drop = given_up && link.orphan;
-            link.orphan = given_up;
-            !drop
-        });
         self.status_sent = now;
         let polling = self
             .links
@@ -883,6 +914,10 @@
     fn take_status(&mut self, status: Status, now: Moment) {
         self.reachable = true;
         self.step(Event::Generation(status.generation), now);
+        if status.cold && self.gate.ramp().stage() != Stage::Cold {
+            // The status may be stale, so searches decide whether the target turned cold in place.
+            self.step(Event::Suspect, now);
+        }
         self.gone
             .retain(|(_, refused)| now.since(*refused) < GONE_HOLD);
         self.holdings = status.holdings;
--- a/src/process/ramp.rs
+++ b/src/process/ramp.rs
@@ -36,14 +36,22 @@
 pub const IDLE_COLD: Duration = Duration::from_mins(1);
 
 /// The factor over the recent latency from which an answer counts as slow.
-pub const SURGE_FACTOR: u32 = 4;
+pub const SURGE_FACTOR: u32 = 3;
 
 /// The least excess over the recent latency of a slow answer; it keeps the jitter of fast targets
 /// from counting as a surge.
-pub const SURGE_EXCESS: Duration = Duration::from_millis(20);
+pub const SURGE_EXCESS: Duration = Duration::from_millis(5);
 
 /// Consecutive slow answers that make a target cold; single stragglers are normal.
-pub const SURGE_ANSWERS: u32 = 3;
+pub const SURGE_ANSWERS: u32 = 4;
+
+/// Good answers that end a suspicion. An answer is good for this if it takes at most twice the
+/// recent latency, because a target that turned cold in place still answers, but slower.
+pub const TRUST_ANSWERS: u32 = 2;
+
+/// The share by which a cold target is paced below its rate, as one in this number. Starts that the
+/// network delays unevenly then still stay within the rate in every span of one second.
+const PACE_MARGIN: u32 = 10;
 
 /// The age beyond which a latency figure decides nothing, so that an outdated high figure cannot
 /// refuse all the work that would correct it.
@@ -52,7 +60,7 @@
 /// The weight of one answer in the recent latency is one in this number.
 const LATENCY_WEIGHT: u64 = 8;
 
-/// The longest interval between starts, so that a slow cold rate still makes progress.
+/// The longest interval between starts to which load shedding slows a cold target down.
 const INTERVAL_MAX: Duration = Duration::from_secs(1);
 
 /// What the ramp takes the target for.
@@ -87,7 +95,7 @@
 pub struct Ramp {
     policy: policy::Target,
     level: Level,
-    /// The level to return to if the next answer shows that the target was not restarted.
+    /// The level to return to if the next answers show that the target did not turn cold.
     suspended: Option<Level>,
     next_start: Moment,
     generation: Option<u64>,
@@ -139,7 +147,7 @@
         self.level.stage
     }
 
-    /// Tells whether the next answer decides if the target was restarted unnoticed.
+    /// Tells whether the next answers decide if the target turned cold unnoticed.
     pub const fn is_suspect(&self) -> bool {
         self.suspended.is_some()
     }
@@ -217,22 +225,30 @@
             self.count_slow(now);
             return;
         }
-        self.slow = 0;
-        self.average(latency, now);
         if started < self.level.since {
+            self.average(latency, now);
             return;
         }
-        self.shed = 0;
-        if let Some(before) = self.suspended.take() {
-            // The same generation answered at the usual speed: the target was not restarted.
-            self.level = Level {
-                since: now,
-                ..before
-            };
-            self.next_start = self.next_start.min(now + self.level.interval);
+        let usual = self.latency();
+        if self.suspended.is_some() && latency > usual * 2 {
+            self.count_slow(now);
             return;
         }
+        self.slow = 0;
+        self.average(latency, now);
+        self.shed = 0;
         self.level.good = self.level.good.saturating_add(1);
+        if let Some(before) = self.suspended {
+            if self.level.good >= TRUST_ANSWERS {
+                self.suspended = None;
+                self.level = Level {
+                    since: now,
+                    ..before
+                };
+                self.next_start = self.next_start.min(now + self.level.interval);
+            }
+            return;
+        }
         self.step_up(now);
     }
 
@@ -253,6 +269,9 @@
             if self.is_surge(now.since(started)) {
                 self.count_slow(now);
             }
+        } else if self.suspended.is_some() && started >= self.level.since {
+            // A second failure in a row is more than an accident.
+            self.cool(now);
         } else {
             self.suspect(now);
         }
@@ -266,12 +285,10 @@
         }
     }
 
-    /// Limits the load to that of a cold target until an answer shows that it was not restarted.
+    /// Limits the load to that of a cold target until answers show that it was not restarted.
     pub fn suspect(&mut self, now: Moment) {
         if self.level.stage == Stage::Cold {
-            if self.suspended.is_none() {
-                self.level.good = 0;
-            }
+            self.level.good = 0;
             self.level.since = now;
             return;
         }
@@ -304,7 +321,8 @@
         let delay = (SHED_DELAY * (1 << (self.shed - 1).min(6))).min(SHED_DELAY_MAX);
         if self.level.stage == Stage::Cold {
             self.level.limit = (self.level.limit / 2).max(1);
-            self.level.interval = (self.level.interval * 2).min(INTERVAL_MAX);
+            let slower = (self.level.interval * 2).min(INTERVAL_MAX);
+            self.level.interval = slower.max(self.level.interval);
         } else if self.shed >= SHED_LIMIT {
             self.cool(now);
         } else {
@@ -381,10 +399,11 @@
 impl Level {
     fn cold(policy: &policy::Target, now: Moment) -> Self {
         let interval = Duration::from_secs(1) / policy.cold_rate.max(1);
+        let interval = interval + interval / PACE_MARGIN;
         Self {
             stage: Stage::Cold,
             limit: policy.cold_concurrency.clamp(1, capacity(policy).max(1)),
-            interval: interval.min(INTERVAL_MAX),
+            interval,
             good: 0,
             since: now,
         }
--- a/tests/gate.rs
+++ b/tests/gate.rs
@@ -193,6 +193,28 @@
     assert_eq!(bench.gate.load().running, 1);
 }
 
+/// Guards against suspicion of a target that answers a cancelled search with an error, as it should.
+#[rstest]
+#[case(true, Stage::Warm)]
+#[case(false, Stage::Cold)]
+fn an_error_answer_to_a_cancelled_search_is_no_fault(
+    #[case] cancelled: bool,
+    #[case] expected: Stage,
+) {
+    let mut bench = Bench::open();
+    while bench.gate.ramp().stage() != Stage::Warm {
+        let (key, _) = bench.offer(1, 900);
+        bench.finish(key, ANSWERED);
+    }
+    let (key, _) = bench.offer(1, 900);
+    if cancelled {
+        assert_eq!(bench.step(Event::Cancel(key)), [Action::Abort(key)]);
+    }
+    bench.finish(key, Completion::Lost(Reason::TargetError));
+    assert_eq!(bench.gate.ramp().stage(), expected);
+    assert_eq!(bench.gate.load().running, 0);
+}
+
 /// Guards against an unknown outcome of non-idempotent work that was going to be known.
 #[test]
 fn running_non_idempotent_work_is_not_cancelled() {
