--- a/src/connection/target.rs
+++ b/src/connection/target.rs
@@ -3,8 +3,12 @@
 //! Each connection is one task, which drives the protocol and runs one call at a time. The task tells
 //! a request that was never written from one that may have run; see `docs/design.md`, section 6.
 
+use std::future::poll_fn;
 use std::net::SocketAddr;
-use std::pin::pin;
+use std::pin::{Pin, pin};
+use std::sync::LazyLock;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -18,6 +22,7 @@
 use tokio::sync::mpsc;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::time::Moment;
 use crate::wire::exchange::Holding;
 use crate::wire::{Outcome, Reason, Version};
 
@@ -30,6 +35,10 @@
 /// The longest answer of a target, in bytes; it bounds the memory that one slot can take.
 pub const ANSWER_MAX: usize = 1 << 20;
 
+/// Handovers between call and connection per run of their task: an answer takes three, for its
+/// head, its body and its end.
+const HANDOVERS: usize = 3;
+
 /// Read buffer of one connection, in bytes; usual answers fit, and many connections stay open.
 const READ_BUFFER: usize = 16 << 10;
 
@@ -38,6 +47,7 @@
 const INDEX_VERSION: HeaderName = HeaderName::from_static("index-version");
 const SHARD: HeaderName = HeaderName::from_static("shard");
 const DEADLINE_MS: HeaderName = HeaderName::from_static("deadline-ms");
+const IDEMPOTENT: HeaderName = HeaderName::from_static("idempotent");
 const GENERATION: HeaderName = HeaderName::from_static("generation");
 
 /// One search for a target.
@@ -51,8 +61,12 @@
     pub version: Version,
     /// The shard that the answer must be for.
     pub shard: u32,
+    /// Whether the work may be run more than once.
+    pub idempotent: bool,
     /// The time left for the answer.
     pub remaining: Duration,
+    /// The moment by which the answer must be there; the search is not sent later.
+    pub deadline: Moment,
     /// The query.
     pub body: Bytes,
 }
@@ -82,11 +96,11 @@
     Refused(Reason),
     /// The search may have run, but has no usable answer.
     Lost(Reason),
-    /// The target confirmed that the search does not run any longer.
-    Cancelled,
     /// The target described itself.
     Status(Status),
-    /// The control call failed, which says nothing about searches.
+    /// The target took note of a cancellation; the search itself gets its own answer.
+    Cancelled,
+    /// The control call failed.
     Failed,
 }
 
@@ -106,6 +120,8 @@
     pub generation: u64,
     /// Whether the target says that it takes work.
     pub serving: bool,
+    /// Whether the target says that it is cold.
+    pub cold: bool,
     /// What the target says that it holds.
     pub holdings: Vec<Holding>,
 }
@@ -133,19 +149,20 @@
 {
     /// Opens a connection to `target`, beginning with `first` if there is one.
     ///
-    /// `may_send` is asked immediately before each search is written, and `signal` is called for
-    /// every change; the last call is [`Signal::Closed`], unless the handle was dropped before.
-    pub fn open<M, S>(target: &Target, first: Option<(T, Ask)>, may_send: M, signal: S) -> Self
+    /// `check` is called with the deadline immediately before each search is written, and its error
+    /// refuses the search. `signal` is called for every change; the last call is [`Signal::Closed`], unless the handle was dropped before.
+    pub fn open<M, S>(target: &Target, first: Option<(T, Ask)>, check: M, signal: S) -> Self
     where
-        M: Fn() -> bool + Send + Sync + 'static,
+        M: Fn(Moment) -> Result<(), Reason> + Send + Sync + 'static,
         S: Fn(Signal<T>) + Send + Sync + 'static,
     {
         let (sender, calls) = mpsc::channel(1);
         let task = Task {
             target: target.clone(),
             calls,
-            may_send,
+            check,
             signal,
+            version: None,
         };
         tokio::spawn(task.run(first));
         Self { calls: sender }
@@ -179,7 +196,12 @@
         self.address
     }
 
-    fn request(&self, ask: &Ask) -> Request<Full<Bytes>> {
+    /// Builds the request; `version` keeps the header of the version that was asked for last.
+    fn request(
+        &self,
+        ask: &Ask,
+        version: &mut Option<(Version, HeaderValue)>,
+    ) -> Request<Full<Bytes>> {
         let (method, path, body) = match ask {
             Ask::Search(search) => (Method::POST, "/search", search.body.clone()),
             Ask::Cancel { .. } => (Method::POST, "/cancel", Bytes::new()),
@@ -195,15 +217,22 @@
             Ask::Search(search) => {
                 headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
                 headers.insert(REQUEST_ID, search.request.clone());
-                headers.insert(ATTEMPT, search.attempt.into());
-                headers.insert(INDEX_VERSION, search.version.0.into());
-                headers.insert(SHARD, search.shard.into());
+                headers.insert(ATTEMPT, decimal(search.attempt.into()));
+                let (_, text) = match version.take() {
+                    Some(last) if last.0 == search.version => version.insert(last),
+                    _ => version.insert((search.version, search.version.0.into())),
+                };
+                headers.insert(INDEX_VERSION, text.clone());
+                headers.insert(SHARD, decimal(search.shard.into()));
                 let remaining = u64::try_from(search.remaining.as_millis()).unwrap_or(u64::MAX);
-                headers.insert(DEADLINE_MS, remaining.max(1).into());
+                headers.insert(DEADLINE_MS, decimal(remaining.max(1)));
+                if !search.idempotent {
+                    headers.insert(IDEMPOTENT, HeaderValue::from_static("false"));
+                }
             }
             Ask::Cancel { request, attempt } => {
                 headers.insert(REQUEST_ID, request.clone());
-                headers.insert(ATTEMPT, (*attempt).into());
+                headers.insert(ATTEMPT, decimal((*attempt).into()));
             }
             Ask::Status => {}
         }
@@ -211,12 +240,31 @@
     }
 }
 
+/// Returns the header value of a number.
+///
+/// Attempts, shards and deadlines are small numbers, whose texts are kept for the life of the
+/// process; making a header value of a new text allocates twice.
+fn decimal(number: u64) -> HeaderValue {
+    /// Numbers below this one are kept; their texts take 4 KB.
+    const KEPT: u64 = 1_024;
+    static TEXTS: LazyLock<Vec<&'static str>> = LazyLock::new(|| {
+        (0..KEPT)
+            .map(|number| &*number.to_string().leak())
+            .collect()
+    });
+    let kept = usize::try_from(number)
+        .ok()
+        .and_then(|index| TEXTS.get(index));
+    kept.map_or_else(|| number.into(), |text| HeaderValue::from_static(text))
+}
+
 /// The task of one connection.
 struct Task<T, M, S> {
     target: Target,
     calls: mpsc::Receiver<(T, Ask)>,
-    may_send: M,
+    check: M,
     signal: S,
+    version: Option<(Version, HeaderValue)>,
 }
 
 /// How one call on a connection ended.
@@ -232,7 +280,7 @@
 impl<T, M, S> Task<T, M, S>
 where
     T: Send + 'static,
-    M: Fn() -> bool + Send + Sync + 'static,
+    M: Fn(Moment) -> Result<(), Reason> + Send + Sync + 'static,
     S: Fn(Signal<T>) + Send + Sync + 'static,
 {
     async fn run(mut self, first: Option<(T, Ask)>) {
@@ -286,54 +334,70 @@
     async fn drive<C>(
         &mut self,
         sender: &mut http1::SendRequest<Full<Bytes>>,
-        connection: C,
+        mut connection: Pin<&mut C>,
         ask: &Ask,
     ) -> Ending
     where
         C: Future<Output = hyper::Result<()>>,
     {
         let is_search = matches!(ask, Ask::Search(_));
-        if is_search && !(self.may_send)() {
+        if let Ask::Search(search) = ask
+            && let Err(reason) = (self.check)(search.deadline)
+        {
             return Ending::Idle(Reply {
-                said: Said::Refused(Reason::NoPermit),
+                said: Said::Refused(reason),
                 generation: None,
             });
         }
-        let mut connection = pin!(connection);
         let mut ended = false;
+        let answering = AtomicBool::new(false);
+        let request = self.target.request(ask, &mut self.version);
         let call = async {
-            let reply = exchange(sender, self.target.request(ask), ask).await;
+            let reply = exchange(sender, request, ask, &answering).await;
             // A call on a connection that is not ready would be given back as not sent.
             let ready = sender.ready().await.is_ok();
             (reply, ready)
         };
         let mut call = pin!(call);
-        let limit = async {
-            if is_search {
-                // The gate watches the deadlines of searches.
-                std::future::pending::<()>().await;
-            }
-            tokio::time::sleep(CONTROL_TIMEOUT).await;
-        };
-        let mut limit = pin!(limit);
-        loop {
-            tokio::select! {
-                biased;
-                _ = &mut connection, if !ended => ended = true,
-                (reply, ready) = &mut call => {
-                    let mismatched = matches!(reply.said, Said::Lost(Reason::MismatchedAnswer));
-                    // After a mismatch, the next answer may belong to an earlier request, too.
-                    return if ready && !ended && !mismatched {
-                        Ending::Idle(reply)
-                    } else {
-                        Ending::Ended(reply)
-                    };
+        // Call and connection hand data to each other several times per answer. Polling them in
+        // turn here costs less than a new run of the task for each handover.
+        let exchange = poll_fn(|cx| {
+            for _ in 0..HANDOVERS {
+                if let Poll::Ready(done) = call.as_mut().poll(cx) {
+                    return Poll::Ready(done);
                 }
-                () = closed(&mut self.calls) => return Ending::Dropped,
-                () = &mut limit => {
-                    return Ending::Ended(Reply { said: Said::Failed, generation: None });
+                if !ended {
+                    ended = connection.as_mut().poll(cx).is_ready();
+                }
+                if !answering.load(Ordering::Relaxed) {
+                    // Either the head of the answer has come by now, or nothing more will.
+                    let done = call.as_mut().poll(cx);
+                    if done.is_ready() || !answering.load(Ordering::Relaxed) {
+                        return done;
+                    }
                 }
             }
+            call.as_mut().poll(cx)
+        });
+        let done = tokio::select! {
+            biased;
+            done = exchange => Some(done),
+            () = closed(&mut self.calls) => return Ending::Dropped,
+            // The gate watches the deadlines of searches.
+            () = tokio::time::sleep(CONTROL_TIMEOUT), if !is_search => None,
+        };
+        let Some((reply, ready)) = done else {
+            return Ending::Ended(Reply {
+                said: Said::Failed,
+                generation: None,
+            });
+        };
+        let mismatched = matches!(reply.said, Said::Lost(Reason::MismatchedAnswer));
+        // After a mismatch, the next answer may belong to an earlier request, too.
+        if ready && !ended && !mismatched {
+            Ending::Idle(reply)
+        } else {
+            Ending::Ended(reply)
         }
     }
 }
@@ -377,6 +441,7 @@
     sender: &mut http1::SendRequest<Full<Bytes>>,
     request: Request<Full<Bytes>>,
     ask: &Ask,
+    answering: &AtomicBool,
 ) -> Reply {
     let lost = || match ask {
         Ask::Search(_) => Said::Lost(Reason::ConnectionLost),
@@ -394,6 +459,7 @@
             };
         }
     };
+    answering.store(true, Ordering::Relaxed);
     let (head, body) = response.into_parts();
     let generation = head.headers.get(GENERATION).map(parse_generation);
     let said = match Limited::new(body, ANSWER_MAX).collect().await {
@@ -476,6 +542,7 @@
         generation,
         // A target that is neither draining nor stopping takes work, whatever it calls its state.
         serving: !matches!(body.state.as_str(), "draining" | "leaving" | "stopping"),
+        cold: body.state == "cold",
         holdings: body.versions,
     })
 }
