--- a/src/process/cell.rs
+++ b/src/process/cell.rs
@@ -388,6 +388,7 @@
         [
             Some(self.next_exchange),
             Some(self.next_read),
+            Some(self.proof_learned + PROOF_WAIT),
             self.reading.map(|started| started + CALL_LIMIT),
             self.swap.as_ref().map(|swap| swap.started + CALL_LIMIT),
             self.proposal(now).map(|(due, _)| due),
@@ -513,32 +514,38 @@
         }
     }
 
-    /// Applies a function to every moment of the state, so that tests can compare states of different times.
+    /// Applies a function to every moment of the state, so that tests can compare states of different
+    /// times; the function also takes the age from which on the moment has no further effect.
     pub fn map_moments<Map>(&mut self, mut map: Map)
     where
-        Map: FnMut(Moment) -> Moment,
+        Map: FnMut(Moment, Duration) -> Moment,
     {
-        for moment in [
-            &mut self.record_since,
-            &mut self.newest_proof,
-            &mut self.proof_learned,
-            &mut self.next_read,
-            &mut self.next_swap,
-            &mut self.next_exchange,
-        ]
-        .into_iter()
-        .chain(self.lists.iter_mut().map(|list| &mut list.since))
-        .chain(self.proofs.iter_mut().map(|(_, started)| started))
-        .chain(self.reading.iter_mut())
-        .chain(self.swap.iter_mut().map(|swap| &mut swap.started))
-        {
-            *moment = map(*moment);
+        let ballot = BALLOT_LIMIT + RANK_STEP * MEMBERS_MAX as u32;
+        for (moment, age) in [
+            (&mut self.record_since, ballot),
+            (&mut self.newest_proof, 2 * PERMIT),
+            (&mut self.proof_learned, PROOF_WAIT),
+            (&mut self.next_read, Duration::ZERO),
+            (&mut self.next_swap, Duration::ZERO),
+            (&mut self.next_exchange, Duration::ZERO),
+        ] {
+            *moment = map(*moment, age);
+        }
+        for list in &mut self.lists {
+            list.since = map(list.since, GRACE);
+        }
+        for (_, started) in &mut self.proofs {
+            *started = map(*started, PERMIT);
+        }
+        let swap = self.swap.iter_mut().map(|swap| &mut swap.started);
+        for started in self.reading.iter_mut().chain(swap) {
+            *started = map(*started, CALL_LIMIT);
         }
         for peer in self.peers.values_mut() {
-            peer.heard = map(peer.heard);
-            peer.seen_at = map(peer.seen_at);
+            peer.heard = map(peer.heard, SUSPECT);
+            peer.seen_at = map(peer.seen_at, SUSPECT);
             for (_, sent) in &mut peer.supports {
-                *sent = map(*sent);
+                *sent = map(*sent, PERMIT);
             }
         }
     }
@@ -884,9 +891,6 @@
         if now >= self.next_read && self.wants_read(now) {
             self.read(now, &mut actions);
         }
-        if self.next_read <= now {
-            self.next_read = now + self.read_period(now);
-        }
         actions
     }
 
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -11,6 +11,7 @@
 
 use std::collections::VecDeque;
 use std::hash::{Hash, Hasher};
+use std::sync::LazyLock;
 use std::time::Duration;
 
 use redwinggrade::process::cell::{Action, Cell, Config, Event, Heads, Rules, Swapped};
@@ -18,7 +19,7 @@
 use redwinggrade::time::Moment;
 use redwinggrade::wire::exchange::Record;
 use redwinggrade::wire::{Exchange, Incarnation, Member, Report, Revision};
-use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::xxh3_128;
 
 /// Clocks start here, so that no age reaches back before the start of a clock.
 pub const START: Moment = Moment::from_millis(60_000);
@@ -132,17 +133,20 @@
     pub record: Option<(Record, u64)>,
 }
 
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Hash)]
 pub struct World {
     pub rules: Rules,
     pub nodes: Vec<Node>,
     pub cut: Vec<Vec<bool>>,
     pub store: Store,
     pub queue: VecDeque<Message>,
+    /// Messages that arrive at some later time.
+    pub late: Vec<Message>,
     /// How long ago a majority was first at the newest settings, on an observer's clock that is fast.
     pub majority_for: Option<Duration>,
     /// The newest settings version that the acceptance rule calls accepted.
     pub accepted: u64,
+    pub cache: Cache,
 }
 
 pub fn member(node: usize, incarnation: u64) -> Member {
@@ -179,13 +183,16 @@
                 record: None,
             },
             queue: VecDeque::new(),
+            late: Vec::new(),
             majority_for: None,
             accepted: 1,
+            cache: Cache(vec![None; rates.len()]),
         }
     }
 
     /// Starts a new incarnation of a node.
     pub fn start(&mut self, node: usize) {
+        self.cache.0[node] = None;
         let this = &mut self.nodes[node];
         this.incarnation += 1;
         this.paused = false;
@@ -200,12 +207,19 @@
     }
 
     pub fn crash(&mut self, node: usize) {
+        self.cache.0[node] = None;
         self.nodes[node].cell = None;
         self.nodes[node].paused = false;
         self.nodes[node].held.clear();
     }
 
+    pub fn pause(&mut self, node: usize) {
+        self.cache.0[node] = None;
+        self.nodes[node].paused = true;
+    }
+
     pub fn resume(&mut self, node: usize) {
+        self.cache.0[node] = None;
         let this = &mut self.nodes[node];
         this.paused = false;
         this.slow = false;
@@ -230,6 +244,7 @@
 
     /// Gives an event to a node and queues what it sends.
     pub fn event(&mut self, node: usize, event: Event) {
+        self.cache.0[node] = None;
         let this = &mut self.nodes[node];
         let now = this.now;
         let incarnation = this.incarnation;
@@ -272,7 +287,7 @@
                     record,
                 }),
                 Action::Exchange { peer, exchange } => {
-                    let to = usize::from(peer.name.as_bytes()[0] - b'a');
+                    let to = place(&peer);
                     self.queue.push_back(Message::Ask {
                         from: node,
                         incarnation,
@@ -434,6 +449,27 @@
         }
     }
 
+    /// Loses the swap at the front of the queue, or only its answer.
+    pub fn lose_swap(&mut self, takes_effect: bool) {
+        if let Some(Message::Swap {
+            from,
+            incarnation,
+            expected,
+            record,
+        }) = self.queue.pop_front()
+        {
+            if takes_effect && self.store.up && !self.nodes[from].store_cut {
+                self.swap(expected, record);
+            }
+            self.queue.push_back(Message::Swapped {
+                to: from,
+                incarnation,
+                expected,
+                outcome: Swapped::Unknown,
+            });
+        }
+    }
+
     /// The store's linearizable compare-and-swap.
     pub fn swap(&mut self, expected: Option<u64>, record: Record) -> Swapped {
         let held = self.store.record.as_ref();
@@ -456,6 +492,7 @@
 
     /// Advances true time; each clock advances at its own rate.
     pub fn advance(&mut self, step: Duration) {
+        self.cache.0.fill(None);
         let rated = |rate: u64| Duration::from_micros(step.as_millis() as u64 * rate);
         for node in &mut self.nodes {
             node.now = node.now + rated(node.rate);
@@ -502,15 +539,7 @@
         let basis = cell.owned_basis();
         (0..TARGETS)
             .filter(|target| {
-                let (service, replica) = (SERVICES[target / 2], target % 2);
-                let usable = basis.usable_from(|members| {
-                    owner(
-                        "index",
-                        service,
-                        u32::try_from(replica).expect("two"),
-                        members,
-                    )
-                });
+                let usable = basis.usable_from(|members| ranked(*target, members));
                 usable.is_some_and(|from| from <= this.now)
             })
             .fold(0, |set, target| set | 1 << target)
@@ -526,7 +555,8 @@
         self.observe_acceptance();
         let mut taken = 0;
         for node in 0..self.nodes.len() {
-            let set = self.dispatches(node);
+            let set = self.cache.0[node].unwrap_or_else(|| self.dispatches(node));
+            self.cache.0[node] = Some(set);
             if set & taken != 0 {
                 return Some(format!(
                     "two nodes may dispatch to targets {:#b}, one of them {node}",
@@ -559,7 +589,7 @@
             .map_or(&[][..], |(record, _)| &record.members);
         let cells = || {
             members.iter().filter_map(|member| {
-                let node = &self.nodes[usize::from(member.name.as_bytes()[0] - b'a')];
+                let node = &self.nodes[place(member)];
                 let current = Incarnation(node.incarnation) == member.incarnation;
                 node.cell
                     .as_ref()
@@ -594,44 +624,83 @@
     /// Returns a hash that is equal for states that differ only by the passing of time.
     pub fn digest(&self) -> u128 {
         let mut canonical = self.clone();
-        let relative = |now: Moment| {
-            move |moment: Moment| {
-                if moment >= now {
-                    START + now.until(moment).min(HORIZON)
-                } else {
-                    START - now.since(moment).min(HORIZON)
-                }
+        let relative = |now: Moment, moment: Moment, age: Duration| {
+            if moment > now {
+                START + now.until(moment).min(HORIZON)
+            } else {
+                START - now.since(moment).min(age)
             }
         };
         let nows: Vec<Moment> = self.nodes.iter().map(|node| node.now).collect();
         let shift = |message: &mut Message| match message {
-            Message::Ask { from, sent, .. } => *sent = relative(nows[*from])(*sent),
-            Message::Answer { to, sent, .. } => *sent = relative(nows[*to])(*sent),
-            Message::Read { to, started, .. } => *started = relative(nows[*to])(*started),
+            Message::Ask { from, sent, .. } => *sent = relative(nows[*from], *sent, HORIZON),
+            Message::Answer { to, sent, .. } => *sent = relative(nows[*to], *sent, HORIZON),
+            Message::Read { to, started, .. } => *started = relative(nows[*to], *started, HORIZON),
             Message::Swap { .. } | Message::Swapped { .. } => {}
         };
         canonical.queue.iter_mut().for_each(shift);
+        canonical.late.iter_mut().for_each(shift);
         for node in &mut canonical.nodes {
             node.held.iter_mut().for_each(shift);
             if let Some(cell) = &mut node.cell {
-                cell.map_moments(relative(node.now));
+                cell.map_moments(|moment, age| relative(node.now, moment, age));
             }
             node.now = START;
         }
-        let mut hasher = Xxh3::new();
-        canonical.hash(&mut Wide(&mut hasher));
-        hasher.digest128()
+        let mut bytes = Bytes(Vec::with_capacity(4_096));
+        canonical.hash(&mut bytes);
+        xxh3_128(&bytes.0)
     }
 }
 
-struct Wide<'h>(&'h mut Xxh3);
+/// Collects what is hashed, because hashing it at once is much faster in a debug build.
+struct Bytes(Vec<u8>);
 
-impl Hasher for Wide<'_> {
+impl Hasher for Bytes {
     fn finish(&self) -> u64 {
-        self.0.digest()
+        unreachable!("only the collected bytes are used")
     }
 
     fn write(&mut self, bytes: &[u8]) {
-        self.0.update(bytes);
+        self.0.extend_from_slice(bytes);
+    }
+}
+
+/// Returns the owner of a target; the ranking is computed once for every set of names, because the
+/// enumeration asks it often.
+fn ranked(target: usize, members: &[Member]) -> Option<&Member> {
+    const NODES: usize = 4;
+    static OWNERS: LazyLock<Vec<[usize; TARGETS]>> = LazyLock::new(|| {
+        let owners = |set: usize| {
+            let nodes: Vec<usize> = (0..NODES).filter(|node| set & 1 << node != 0).collect();
+            let members: Vec<Member> = nodes.iter().map(|node| member(*node, 1)).collect();
+            std::array::from_fn(|target| {
+                let replica = u32::try_from(target % 2).expect("two replicas");
+                owner("index", SERVICES[target / 2], replica, &members).map_or(NODES, place)
+            })
+        };
+        (0..1 << NODES).map(owners).collect()
+    });
+    let set = members
+        .iter()
+        .fold(0, |set, member| set | 1 << place(member));
+    let owner = OWNERS[set][target];
+    members.iter().find(|member| place(member) == owner)
+}
+
+/// Returns the number of a node, which its name encodes.
+fn place(member: &Member) -> usize {
+    usize::from(member.name.as_bytes()[0] - b'a')
+}
+
+/// The targets that each node may dispatch to, as far as they are computed; not a part of the state.
+#[derive(Debug, Clone)]
+pub struct Cache(Vec<Option<u32>>);
+
+impl Hash for Cache {
+    fn hash<State>(&self, _: &mut State)
+    where
+        State: Hasher,
+    {
     }
 }
