Add the decision bench with an event loop over model targets

Cause: the decisions of the request path were tested through lists of events only, without load, delay or stale directories.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,3 +1,111 @@
 //! Runs the decision code in virtual time against model targets.
+//!
+//! Usage: `redwinggrade-bench SCENARIO [--policy NAME ...] [--size magnolia|tamar|large] [--seed N]
+//! [--seconds N] [--json]`
 
-fn main() {}
+use std::process::ExitCode;
+use std::time::Instant;
+
+use anyhow::{Context, Result, bail};
+use clap::{Parser, ValueEnum};
+use redwinggrade_bench::policy::{self, Policy};
+use redwinggrade_bench::report::Run;
+use redwinggrade_bench::scenario::Scenario;
+use redwinggrade_bench::size::Size;
+
+/// The longest run, so that a mistyped length does not run for days.
+const SECONDS_MAX: u64 = 3_600;
+
+#[derive(Debug, Parser)]
+#[command(about = "Runs the decision code in virtual time against model targets.")]
+struct Args {
+    /// straggler, replica-loss, cold-start, dc-leave-return, overload, repartition, store-outage
+    /// or all.
+    scenario: String,
+    /// A policy to run; ours, no-hedge, fixed-hedge, random, round-robin, static-share or no-ramp.
+    /// May be given several times; each scenario has a default list.
+    #[arg(long = "policy")]
+    policies: Vec<String>,
+    /// The size; all of them if none is given.
+    #[arg(long)]
+    size: Option<Size>,
+    /// The seed; equal seeds give equal results.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// The length of the measured part in virtual seconds.
+    #[arg(long, default_value_t = 30, value_parser = clap::value_parser!(u64).range(1..=SECONDS_MAX))]
+    seconds: u64,
+    /// Writes one JSON object per line.
+    #[arg(long)]
+    json: bool,
+}
+
+fn main() -> Result<ExitCode> {
+    let args = Args::parse();
+    let mut passes = true;
+    for scenario in scenarios(&args.scenario)? {
+        let policies = policies(scenario, &args.policies)?;
+        let sizes = args
+            .size
+            .map_or_else(|| Size::ALL.to_vec(), |size| vec![size]);
+        for index in sizes.into_iter().flat_map(Size::indexes) {
+            let run = Run {
+                scenario,
+                index: *index,
+                seed: args.seed,
+                seconds: args.seconds,
+            };
+            for policy in &policies {
+                passes &= report(&run, *policy, args.json)?;
+            }
+        }
+    }
+    Ok(if passes {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
+
+/// Runs one policy and prints its row; tells whether it meets its targets.
+fn report(run: &Run, policy: Policy, json: bool) -> Result<bool> {
+    let started = Instant::now();
+    let row = run.row(policy);
+    // Real time is no result, so it does not go to the standard output.
+    eprintln!(
+        "{} {} {}: {} events in {:.2} s of real time",
+        row.scenario,
+        row.index,
+        row.policy,
+        row.events,
+        started.elapsed().as_secs_f64()
+    );
+    if json {
+        println!("{}", serde_json::to_string(&row).context("write the row")?);
+    } else {
+        println!("{}", row.text());
+    }
+    Ok(row.passes())
+}
+
+fn scenarios(name: &str) -> Result<Vec<Scenario>> {
+    if name == "all" {
+        return Ok(Scenario::ALL.to_vec());
+    }
+    let found = <Scenario as ValueEnum>::from_str(name, false);
+    match found {
+        Ok(scenario) => Ok(vec![scenario]),
+        Err(_) => bail!("no scenario is named {name}; see --help"),
+    }
+}
+
+fn policies(scenario: Scenario, names: &[String]) -> Result<Vec<Policy>> {
+    let defaults = scenario.policies().iter().copied();
+    let names: Vec<&str> = if names.is_empty() {
+        defaults.collect()
+    } else {
+        names.iter().map(String::as_str).collect()
+    };
+    let find = |name| policy::find(name).with_context(|| format!("no policy is named {name}"));
+    names.into_iter().map(find).collect()
+}
--- /dev/null
+++ b/bench/src/report.rs
@@ -0,0 +1,237 @@
+//! Runs a scenario with several policies, and writes what came out as text or JSON.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+use serde::Serialize;
+
+use crate::policy::{self, Policy};
+use crate::scenario::Scenario;
+use crate::size::Index;
+use crate::stats::{Second, Violations};
+use crate::verdict::{self, Check};
+use crate::world::{self, Outcomes, Setup};
+
+/// The figures of one policy in one scenario at one index.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Row {
+    /// The name of the scenario.
+    pub scenario: &'static str,
+    /// The name of the index.
+    pub index: &'static str,
+    /// The name of the policy.
+    pub policy: &'static str,
+    /// The seed.
+    pub seed: u64,
+    /// Queries per second at which all slots are in use.
+    pub capacity: f64,
+    /// Queries that began.
+    pub queries: u64,
+    /// The median of the queries' times, in milliseconds.
+    pub p50_ms: f64,
+    /// The 99th percentile of the queries' times, in milliseconds.
+    pub p99_ms: f64,
+    /// The 99.9th percentile of the queries' times, in milliseconds.
+    pub p999_ms: f64,
+    /// The mean coverage in percent.
+    pub coverage_mean: f64,
+    /// The least coverage in percent.
+    pub coverage_min: f64,
+    /// The share of queries below the least coverage, in percent.
+    pub below_percent: f64,
+    /// Queries without an answer, by reason.
+    pub failures: BTreeMap<String, u64>,
+    /// Legs by cause.
+    pub legs: Second,
+    /// Extra legs in percent of the first ones.
+    pub extra_percent: f64,
+    /// The most requests at once at a cold target.
+    pub cold_running: usize,
+    /// The most starts within a second at a cold target.
+    pub cold_rate: usize,
+    /// The time after a data centre was taken out at which the last request started there, in
+    /// milliseconds.
+    pub last_out_ms: f64,
+    /// What must never happen.
+    pub violations: Violations,
+    /// Figures by second.
+    pub seconds: Vec<Second>,
+    /// The comparison with the targets; empty for the policies that are only compared with ours.
+    pub checks: Vec<Check>,
+    /// Events that the loop handled.
+    pub events: u64,
+}
+
+impl Row {
+    fn new(setup: &Setup, outcomes: Outcomes, checks: Vec<Check>) -> Self {
+        let stats = outcomes.stats;
+        let quantile = |share: f64| stats.latency.value_at_quantile(share) as f64 / 1e3;
+        let ended = stats.ended.max(1) as f64;
+        Self {
+            scenario: setup.scenario.name(),
+            index: setup.index.name,
+            policy: setup.policy.name,
+            seed: setup.seed,
+            capacity: setup.capacity(),
+            queries: stats.started,
+            p50_ms: quantile(0.5),
+            p99_ms: quantile(0.99),
+            p999_ms: quantile(0.999),
+            coverage_mean: 100.0 * stats.coverage_sum / ended,
+            coverage_min: 100.0 * stats.coverage_min,
+            below_percent: 100.0 * stats.below as f64 / ended,
+            legs: stats.total(),
+            extra_percent: stats.total().extra_percent(),
+            failures: stats.failures,
+            cold_running: outcomes.cold_running,
+            cold_rate: outcomes.cold_rate,
+            last_out_ms: stats.last_out_us as f64 / 1e3,
+            violations: stats.violations,
+            seconds: stats.seconds,
+            checks,
+            events: outcomes.events,
+        }
+    }
+
+    /// Tells whether all targets are met.
+    pub fn passes(&self) -> bool {
+        self.checks.iter().all(|check| check.pass)
+    }
+
+    /// Writes the row as text.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        self.write(&mut text).expect("writing to a string succeeds");
+        text
+    }
+
+    fn write(&self, out: &mut String) -> std::fmt::Result {
+        let legs = self.legs;
+        let part = |count: u64| crate::stats::percent(count, legs.first);
+        writeln!(
+            out,
+            "{} {} {} seed {}: {} queries, capacity {:.0}/s",
+            self.scenario, self.index, self.policy, self.seed, self.queries, self.capacity
+        )?;
+        writeln!(
+            out,
+            "  query ms      p50 {:.1}  p99 {:.1}  p99.9 {:.1}",
+            self.p50_ms, self.p99_ms, self.p999_ms
+        )?;
+        writeln!(
+            out,
+            "  coverage %    mean {:.3}  min {:.1}  below least {:.3}",
+            self.coverage_mean, self.coverage_min, self.below_percent
+        )?;
+        writeln!(
+            out,
+            "  extra load %  {:.2}: hedges {:.2}  retries {:.2}  restarts {:.2}",
+            self.extra_percent,
+            part(legs.hedges),
+            part(legs.retries),
+            part(legs.restarts)
+        )?;
+        if !self.failures.is_empty() {
+            write!(out, "  failures     ")?;
+            for (reason, count) in &self.failures {
+                write!(out, " {reason} {count}")?;
+            }
+            writeln!(out)?;
+        }
+        if self.cold_running > 0 {
+            writeln!(
+                out,
+                "  cold target   most at once {}  most starts per second {}",
+                self.cold_running, self.cold_rate
+            )?;
+        }
+        if self.last_out_ms > 0.0 {
+            writeln!(
+                out,
+                "  out           last start {:.0} ms after the data centre was taken out",
+                self.last_out_ms
+            )?;
+        }
+        writeln!(out, "  goodput /s    {}", chart(&self.seconds))?;
+        for check in &self.checks {
+            if check.pass && check.safety {
+                continue;
+            }
+            let word = if check.pass { "pass" } else { "MISS" };
+            let order = if check.at_least { ">=" } else { "<=" };
+            write!(
+                out,
+                "  {word}          {}: {:.2} {order} {:.2}",
+                check.name, check.measured, check.bound
+            )?;
+            if !check.pass {
+                write!(
+                    out,
+                    ", missed by {:.2}",
+                    (check.measured - check.bound).abs()
+                )?;
+            }
+            writeln!(out)?;
+        }
+        let safety = self.checks.iter().filter(|check| check.safety);
+        if safety.clone().next().is_some() && safety.clone().all(|check| check.pass) {
+            writeln!(out, "  pass          all {} safety checks", safety.count())?;
+        }
+        Ok(())
+    }
+}
+
+/// Draws the goodput by second, scaled to the highest offered load; a full block is the whole of it.
+fn chart(seconds: &[Second]) -> String {
+    const BLOCKS: [char; 9] = [' ', '▁', '▂', '▃', '▄', '▅', '▆', '▇', '█'];
+    let most = seconds.iter().map(|second| second.offered).max();
+    let most = most.unwrap_or(0).max(1);
+    let block = |second: &Second| BLOCKS[(second.good * 8 / most) as usize];
+    let good = seconds.iter().map(|second| second.good).max().unwrap_or(0);
+    let drawn: String = seconds.iter().map(block).collect();
+    format!("|{drawn}| peak {good}, offered at most {most}")
+}
+
+/// What to run.
+#[derive(Debug, Clone, Copy)]
+pub struct Run {
+    /// The scenario.
+    pub scenario: Scenario,
+    /// The index.
+    pub index: Index,
+    /// The seed.
+    pub seed: u64,
+    /// The length of the measured part.
+    pub seconds: u64,
+}
+
+impl Run {
+    /// Returns the setup of the run with a policy.
+    pub fn setup(&self, policy: Policy) -> Setup {
+        Setup {
+            scenario: self.scenario,
+            index: self.index,
+            policy,
+            stragglers: self.scenario.stragglers(),
+            seed: self.seed,
+            seconds: self.seconds,
+        }
+    }
+
+    /// Runs one policy; only ours is compared with the targets.
+    pub fn row(&self, policy: Policy) -> Row {
+        let setup = self.setup(policy);
+        let outcomes = world::run(setup);
+        let mut checks = Vec::new();
+        if policy == policy::OURS {
+            let reference = (self.scenario == Scenario::Straggler).then(|| {
+                world::run(Setup {
+                    stragglers: 0.0,
+                    ..setup
+                })
+            });
+            checks = verdict::checks(&setup, &outcomes, reference.as_ref());
+        }
+        Row::new(&setup, outcomes, checks)
+    }
+}
