--- a/bench/src/verdict.rs
+++ b/bench/src/verdict.rs
@@ -125,7 +125,7 @@
     let violations = outcomes.stats.violations;
     let count = |name, count: u64| Check::safety(name, count as f64, 0.0);
     let bears = outcomes.bears;
-    let rate = bears.cold_rate as f64 + RATE_SLACK as f64;
+    let rate = f64::from(bears.cold_rate) + RATE_SLACK as f64;
     vec![
         count("mixed snapshots", violations.mixed),
         count("false coverage", violations.false_coverage),
--- a/bench/src/world.rs
+++ b/bench/src/world.rs
@@ -698,7 +698,7 @@
                         self.stats.seconds[second].count(leg.cause);
                     }
                     let known = directory.target(target);
-                    let gateway = known.gateway.as_ref().map_or(node, |it| node_of(it));
+                    let gateway = known.gateway.as_ref().map_or(node, node_of);
                     let target = target_of(&known.name);
                     let query = self.queries.get_mut(&id).expect("the query runs");
                     query.legs.push((gateway, target));
