--- a/src/process/ledger.rs
+++ b/src/process/ledger.rs
@@ -142,10 +142,10 @@
     async fn pre_start(
         &self,
         _myself: ActorRef<Message>,
-        arguments: Clock,
+        args: Clock,
     ) -> Result<State, ActorProcessingErr> {
         Ok(State {
-            clock: arguments,
+            clock: args,
             table: Table::open(Limits::default()),
             waiting: HashMap::new(),
         })
