Test faults of targets and peers through sockets

Cause: stale connections, restarts, refused connections, hanging searches and cancelled batches need a guard through the real connections. Change: eight tests in tests/gateway.rs.

--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -205,3 +205,169 @@
         assert_eq!(failure(&frames.recv().await.unwrap()), None);
     }
 }
+
+fn limit(gateway: &Gateway) -> u16 {
+    gateway
+        .summaries(0)
+        .0
+        .first()
+        .map_or(0, |summary| summary.load.limit)
+}
+
+async fn warm(gateway: &Gateway) {
+    let mut round = 0;
+    while limit(gateway) < 2 {
+        round += 1;
+        offer(gateway, batch(&format!("warm-{round}"), 1, PATIENCE)).await;
+    }
+}
+
+/// Guards against a lost search, and against full load, after a target closed its idle connections.
+#[tokio::test]
+async fn closed_connections_are_replaced_without_loss() {
+    let fake = Fake::open().await;
+    let gateway = gateway(&fake).await;
+    warm(&gateway).await;
+    fake.cut();
+    eventually("the target is suspect", || limit(&gateway) == 1).await;
+    let frames = offer(&gateway, batch("r", 1, PATIENCE)).await;
+    assert_eq!(failure(&frames[0]), None);
+    assert_eq!(frames[0].load.limit, 1);
+}
+
+/// Guards against full load on a target that was restarted without a warning.
+#[tokio::test]
+async fn a_new_generation_is_cold() {
+    let fake = Fake::open().await;
+    let gateway = gateway(&fake).await;
+    warm(&gateway).await;
+    fake.generation.store(2, Ordering::SeqCst);
+    let frames = offer(&gateway, batch("r", 1, PATIENCE)).await;
+    assert_eq!(frames[0].load.limit, 1);
+}
+
+/// Guards against a wrong "may have run" while a target is down, and against a target that stays
+/// unusable when it is back.
+#[tokio::test]
+async fn a_refused_connection_is_not_sent() {
+    let (fake, accept) = Fake::bind("127.0.0.1:0".parse().unwrap()).await;
+    let gateway = gateway(&fake).await;
+    warm(&gateway).await;
+    let usable = || gateway.summaries(0).0[0].usable;
+    assert!(usable());
+    accept.abort();
+    eventually("the listener is closed", || accept.is_finished()).await;
+    fake.cut();
+    eventually("the target is reported as unusable", || !usable()).await;
+    let frames = offer(&gateway, batch("r", 1, PATIENCE)).await;
+    assert_eq!(failure(&frames[0]), Some(Reason::NotSent));
+    let (fake, _accept) = Fake::bind(fake.address).await;
+    eventually("the target is usable again", usable).await;
+    let frames = offer(&gateway, batch("r", 1, PATIENCE)).await;
+    assert_eq!(failure(&frames[0]), None);
+    assert_eq!(fake.searches.load(Ordering::SeqCst), 1);
+}
+
+/// Guards against a caller that waits beyond its deadline, and against a search that nobody cancels.
+#[tokio::test]
+async fn a_search_that_hangs_times_out_and_is_cancelled() {
+    let fake = Fake::open().await;
+    fake.play(Script::Hold);
+    let gateway = gateway(&fake).await;
+    let frames = offer(&gateway, batch("r", 1, Duration::from_millis(100))).await;
+    assert_eq!(failure(&frames[0]), Some(Reason::Timeout));
+    eventually("it is cancelled", || {
+        fake.cancels.load(Ordering::SeqCst) == 1
+    })
+    .await;
+    fake.play(Script::Answer);
+    let frames = offer(&gateway, batch("r2", 1, PATIENCE)).await;
+    assert_eq!(failure(&frames[0]), None);
+}
+
+/// Guards against nodes that do not learn what a target holds or that it is draining, and against
+/// reports of what has not changed.
+#[tokio::test]
+async fn summaries_report_changes() {
+    let fake = Fake::open().await;
+    let gateway = gateway(&fake).await;
+    eventually("the target is reported", || {
+        gateway.summaries(0).0.iter().any(|summary| summary.usable)
+    })
+    .await;
+    let (summaries, mark) = gateway.summaries(0);
+    assert_eq!(summaries[0].holdings[0].shards, 20);
+    assert_eq!(gateway.summaries(mark).0, []);
+    fake.serving.store(false, Ordering::SeqCst);
+    eventually("draining is reported", || {
+        gateway
+            .summaries(mark)
+            .0
+            .iter()
+            .any(|summary| !summary.usable)
+    })
+    .await;
+    let frames = offer(&gateway, batch("r", 1, PATIENCE)).await;
+    assert_eq!(failure(&frames[0]), Some(Reason::Draining));
+    // A mark of an earlier run of the node must not hide anything.
+    assert_eq!(gateway.summaries(u64::MAX).0.len(), 1);
+}
+
+/// Guards against a peer connection that ends because many batches were cancelled.
+#[tokio::test]
+async fn many_cancelled_batches_leave_the_connection_open() {
+    let fake = Fake::open().await;
+    fake.play(Script::Hold);
+    let server = node(&fake).await;
+    let (peers, address) = (Peers::new(), server.address());
+    let kept = peers
+        .scatter(address, &batch("kept", 1, PATIENCE), PATIENCE)
+        .await;
+    let mut kept = kept.unwrap();
+    eventually("a search runs", || fake.running.load(Ordering::SeqCst) == 1).await;
+    for round in 0..300 {
+        let batch = batch(&format!("r-{round}"), 1, PATIENCE);
+        drop(peers.scatter(address, &batch, PATIENCE).await.unwrap());
+    }
+    fake.release();
+    assert_eq!(failure(&kept.next().await.unwrap().unwrap()), None);
+}
+
+/// Guards against a call that waits without end for a frozen peer, and against a wrong "not sent".
+#[tokio::test]
+async fn a_silent_peer_times_out() {
+    let fake = Fake::open().await;
+    fake.play(Script::Hold);
+    let server = node(&fake).await;
+    let batch = batch("r", 1, PATIENCE);
+    let timeout = Duration::from_millis(100);
+    let mut frames = Peers::new()
+        .scatter(server.address(), &batch, timeout)
+        .await
+        .unwrap();
+    assert!(matches!(
+        frames.next().await,
+        Some(Err(peer::Error::Timeout))
+    ));
+    let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = silent.local_addr().unwrap();
+    let call = Peers::new()
+        .call::<_, u32>(address, "/peer/echo", &7_u32, timeout)
+        .await;
+    assert!(matches!(call, Err(peer::Error::Timeout)));
+}
+
+/// Guards against a node whose memory one peer can fill.
+#[tokio::test]
+async fn a_body_above_the_limit_is_refused() {
+    let fake = Fake::open().await;
+    let server = node(&fake).await;
+    let body = vec![0_u32; peer::BODY_MAX];
+    let call = Peers::new()
+        .call::<_, u32>(server.address(), "/peer/echo", &body, PATIENCE)
+        .await;
+    assert!(matches!(
+        call,
+        Err(peer::Error::Status(StatusCode::PAYLOAD_TOO_LARGE))
+    ));
+}
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -51,6 +51,7 @@
     pub connections: AtomicU32,
     pub cancels: AtomicU32,
     pub released: Notify,
+    pub cut: Notify,
 }
 
 impl Fake {
@@ -72,21 +73,28 @@
             connections: AtomicU32::new(0),
             cancels: AtomicU32::new(0),
             released: Notify::new(),
+            cut: Notify::new(),
         });
         let served = Arc::clone(&fake);
         let accept = tokio::spawn(async move {
             loop {
                 let (stream, _) = listener.accept().await.unwrap();
                 served.connections.fetch_add(1, Ordering::SeqCst);
+                let served_too = Arc::clone(&served);
                 let served = Arc::clone(&served);
                 let service = service_fn(move |request| {
                     let served = Arc::clone(&served);
                     async move { served.answer(request).await }
                 });
-                tokio::spawn(
-                    hyper::server::conn::http1::Builder::new()
-                        .serve_connection(TokioIo::new(stream), service),
-                );
+                let cutting = Arc::clone(&served_too);
+                tokio::spawn(async move {
+                    let connection = hyper::server::conn::http1::Builder::new()
+                        .serve_connection(TokioIo::new(stream), service);
+                    tokio::select! {
+                        _ended = connection => {}
+                        () = cutting.cut.notified() => {}
+                    }
+                });
             }
         });
         (fake, accept)
@@ -96,6 +104,11 @@
         *self.script.lock().unwrap() = script;
     }
 
+    /// Closes all connections.
+    pub fn cut(&self) {
+        self.cut.notify_waiters();
+    }
+
     pub fn release(&self) {
         self.released.notify_waiters();
     }
