Refuse work at once while a target accepts no connections

Cause: legs for a dead target waited in its queue, paced by the cold rate, before their replicas were tried; and a wrong generation in a status made a target cold again and again. Change: the gate is closed with NotSent until a status call reaches the target, tried every 200 ms; after the first, a status generation only raises suspicion; a target is usable from valid_from on.

--- a/src/connection/target.rs
+++ b/src/connection/target.rs
@@ -129,8 +129,8 @@
 /// What a connection reports to its owner.
 #[derive(Debug)]
 pub enum Signal<T> {
-    /// The connection is open and idle.
-    Ready,
+    /// The connection was established; it is idle unless it was opened with a call.
+    Opened,
     /// The call ended and the connection is idle again.
     Done(T, Reply),
     /// The connection ended; `T` is the call that it had, and whether it was never written.
@@ -296,9 +296,7 @@
         };
         let mut connection = pin!(connection);
         let mut next = first;
-        if next.is_none() {
-            (self.signal)(Signal::Ready);
-        }
+        (self.signal)(Signal::Opened);
         loop {
             let call = if let Some(call) = next.take() {
                 Some(call)
--- a/src/process/gateway.rs
+++ b/src/process/gateway.rs
@@ -39,6 +39,9 @@
 /// may lag and still say that it takes work.
 pub const DRAINING_HOLD: Duration = Duration::from_secs(10);
 
+/// The period in which a target that accepts no connections is tried again.
+pub const RECONNECT_PERIOD: Duration = Duration::from_millis(200);
+
 /// The time for which a version that a target refused as not held counts as gone, whatever its
 /// possibly stale status says.
 pub const GONE_HOLD: Duration = Duration::from_secs(3);
@@ -445,6 +448,7 @@
     Disown,
     Tick,
     Poll,
+    Retry,
 }
 
 /// The actor of one target.
@@ -490,10 +494,10 @@
     draining: Option<(Moment, Option<u64>)>,
     /// Whether the target was reached since the last failure to reach it.
     reachable: bool,
+    /// Whether an attempt to reach the target again is scheduled.
+    retrying: bool,
     last_search: Moment,
-    last_answer: Moment,
     last_preopen: Moment,
-    status_sent: Moment,
     disowned: bool,
     published: Option<(u64, Class)>,
 }
@@ -541,10 +545,9 @@
             gone: Vec::new(),
             draining: None,
             reachable: false,
+            retrying: false,
             last_search: Moment::ZERO,
-            last_answer: Moment::ZERO,
             last_preopen: Moment::ZERO,
-            status_sent: Moment::ZERO,
             disowned: false,
             published: None,
         };
@@ -583,10 +586,14 @@
                 state.alarm_at = Moment::NEVER;
                 state.step(Event::Tick, now);
             }
-            Message::Poll => state.poll(now),
+            Message::Poll => state.poll(),
+            Message::Retry => {
+                state.retrying = false;
+                state.poll();
+            }
         }
-        state.arm();
-        state.publish();
+        state.arm(now);
+        state.publish(now);
         if state.disowned && state.gate.is_idle() && state.common.release(&state.owned) {
             state.myself.stop(None);
         }
@@ -743,19 +750,18 @@
 
     fn signal(&mut self, key: LinkKey, signal: Signal<Purpose>, now: Moment) {
         match signal {
-            Signal::Ready => {
-                self.reachable = true;
+            Signal::Opened => {
+                self.reached(now);
                 if let Some(link) = self.links.get_mut(key) {
                     link.opened = true;
-                    self.idle.push(key);
+                    if link.purpose.is_none() {
+                        self.idle.push(key);
+                    }
                 }
             }
             Signal::Done(purpose, reply) => {
-                self.reachable = true;
-                self.last_answer = now;
                 if let Some(link) = self.links.get_mut(key) {
                     link.purpose = None;
-                    link.opened = true;
                     self.idle.push(key);
                 }
                 self.replied(purpose, reply, now);
@@ -770,7 +776,7 @@
                     // A target that ends connections may have been restarted.
                     self.step(Event::Suspect, now);
                 } else if unanswered {
-                    self.reachable = false;
+                    self.unreached(now);
                 }
                 if let Some((purpose, reply)) = call
                     && !(opened && self.resend(purpose, &reply, now))
@@ -807,11 +813,12 @@
             Purpose::Search(key) => self.finish(key, reply.said, reply.generation, now),
             // The search itself is answered when it has ended; only that frees its slot.
             Purpose::Cancel => {}
-            Purpose::Status => match reply.said {
-                Said::Status(status) => self.take_status(status, now),
-                // A search that was answered since then outweighs a failed status call.
-                _ => self.reachable &= self.last_answer > self.status_sent,
-            },
+            Purpose::Status => {
+                // A failed status call says nothing beyond the end of its connection.
+                if let Said::Status(status) = reply.said {
+                    self.take_status(status, now);
+                }
+            }
         }
     }
 
@@ -860,22 +867,17 @@
             load,
             &self.common.metrics,
         );
-        let busy = Some(Purpose::Search(key));
-        if self
-            .links
-            .iter()
-            .any(|(_, link)| link.purpose == busy && !link.opened)
-        {
-            // The connection may still be opening; without it, the search is not sent late.
-            self.links.retain(|_, link| link.purpose != busy);
-        }
-        let Some(work) = self.jobs.get(key) else {
-            return;
-        };
         let cancel = Ask::Cancel {
             request: work.header.request.clone(),
             attempt: work.attempt,
         };
+        let busy = Some(Purpose::Search(key));
+        let mut links = self.links.iter();
+        if let Some((unopened, _)) = links.find(|(_, link)| link.purpose == busy && !link.opened) {
+            // Without the connection that is still being opened, the search is not sent late.
+            self.links.remove(unopened);
+            return;
+        }
         // Without a free connection, the hold of the slot ends by time.
         let _busy = self.call(Purpose::Cancel, cancel);
     }
@@ -899,8 +901,7 @@
     }
 
     /// Asks for the target's status.
-    fn poll(&mut self, now: Moment) {
-        self.status_sent = now;
+    fn poll(&mut self) {
         let polling = self
             .links
             .values()
@@ -912,10 +913,12 @@
     }
 
     fn take_status(&mut self, status: Status, now: Moment) {
-        self.reachable = true;
-        self.step(Event::Generation(status.generation), now);
-        if status.cold && self.gate.ramp().stage() != Stage::Cold {
-            // The status may be stale, so searches decide whether the target turned cold in place.
+        let ramp = self.gate.ramp();
+        let known = ramp.generation();
+        if known.is_none() {
+            self.step(Event::Generation(status.generation), now);
+        } else if (status.cold || known != Some(status.generation)) && ramp.stage() != Stage::Cold {
+            // The status may be stale or wrong, so searches decide whether the target turned cold.
             self.step(Event::Suspect, now);
         }
         self.gone
@@ -962,6 +965,26 @@
         }
     }
 
+    /// Notes that the target accepts connections.
+    fn reached(&mut self, now: Moment) {
+        self.reachable = true;
+        if self.gate.closed() == Some(Reason::NotSent) {
+            self.step(Event::Reopen(self.owned.valid_from), now);
+        }
+    }
+
+    /// Refuses work at once while the target accepts no connections, so that replicas are tried.
+    fn unreached(&mut self, now: Moment) {
+        self.reachable = false;
+        if self.gate.closed().is_none() {
+            self.step(Event::Close(Reason::NotSent), now);
+        }
+        if !self.retrying && !self.disowned {
+            self.retrying = true;
+            self.myself.send_after(RECONNECT_PERIOD, || Message::Retry);
+        }
+    }
+
     /// Opens connections before they are needed, as many as may run at once.
     fn preopen(&mut self, now: Moment) {
         let busy = now.since(self.last_search) < PREOPEN_WINDOW;
@@ -975,8 +998,10 @@
         }
     }
 
-    fn arm(&mut self) {
-        let Some(wake) = self.gate.wake() else {
+    fn arm(&mut self, now: Moment) {
+        // The target becomes usable when the ownership becomes valid.
+        let valid = (now < self.owned.valid_from).then_some(self.owned.valid_from);
+        let Some(wake) = self.gate.wake().into_iter().chain(valid).min() else {
             return;
         };
         // The alarm is only ever moved forward; a tick that comes early does no harm.
@@ -987,12 +1012,13 @@
         }
     }
 
-    fn publish(&mut self) {
+    fn publish(&mut self, now: Moment) {
         if self.disowned {
             return;
         }
         let load = self.gate.load();
-        let usable = self.reachable && self.gate.closed().is_none();
+        let valid = now >= self.owned.valid_from;
+        let usable = valid && self.reachable && self.gate.closed().is_none();
         let class = Class {
             usable,
             limit: load.limit,
