--- a/src/command/change.rs
+++ b/src/command/change.rs
@@ -3,13 +3,15 @@
 //! Each write carries an operation id. If its answer is lost, the log is read back until the outcome
 //! is known or the time is up; nothing is written a second time. See `docs/design.md`, section 5.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, Write};
+use std::net::SocketAddr;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use clap::Args;
 use serde_json::json;
-use tokio::task::JoinSet;
+use tokio::sync::mpsc;
+use tokio::time::MissedTickBehavior;
 
 use super::{Context, Exit, Failure, Report};
 use crate::connection::admin;
@@ -18,7 +20,7 @@
 use crate::process::record;
 use crate::time::Moment;
 use crate::version::Tree;
-use crate::version::acceptance::{Acceptance, Unconfirmed};
+use crate::version::acceptance::{Acceptance, Status, Unconfirmed};
 use crate::version::edit::{self, Edit};
 use crate::version::log::{Change, Entry, Origin};
 use crate::wire::exchange::Record;
@@ -28,6 +30,9 @@
 /// Attempts of a single-value change that loses races; each starts from the newest version.
 const ATTEMPTS: usize = 5;
 
+/// Hexadecimal digits of an operation id after its base.
+const OPERATION_DIGITS: usize = 16;
+
 /// How long to wait for a change.
 #[derive(Debug, Args)]
 pub struct Wait {
@@ -125,6 +130,8 @@
 }
 
 /// Polls the store and the nodes until every cell has confirmed the entry's version.
+///
+/// Every node is heard and the records are read at least once, whatever the time limit.
 pub async fn confirm(
     context: &Context,
     store: &Store,
@@ -132,17 +139,46 @@
     mut acceptance: Acceptance,
     until: Moment,
 ) -> Report {
+    let nodes: BTreeSet<SocketAddr> = context.nodes.iter().copied().collect();
+    let mut answers = poll(&nodes);
     let mut watch = Watch::default();
+    let mut ticks = tokio::time::interval(POLL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let waiting = loop {
-        watch.look(context, store, &mut acceptance).await;
+        tokio::select! {
+            Some(answer) = answers.recv() => watch.hear(answer, &mut acceptance),
+            _ = ticks.tick() => watch.read(store, &mut acceptance).await,
+        }
         let now = context.clock.now();
         let waiting = acceptance.unconfirmed(now);
-        if waiting.is_empty() || now >= until {
+        let looked = watch.has_read && watch.heard.len() >= nodes.len();
+        if waiting.is_empty() || (looked && now >= until) {
             break waiting;
         }
-        tokio::time::sleep(POLL.min(now.until(until))).await;
     };
-    describe(entry, &waiting, &watch.silent)
+    describe(entry, &waiting, watch.heard.values().flatten())
+}
+
+/// What a node at an address answered.
+type Answer = (SocketAddr, Result<Status, admin::Error>);
+
+/// Asks every node again and again, so that a silent one does not delay what the others say.
+fn poll(nodes: &BTreeSet<SocketAddr>) -> mpsc::Receiver<Answer> {
+    let (sender, receiver) = mpsc::channel(nodes.len().max(1));
+    for &address in nodes {
+        let sender = sender.clone();
+        tokio::spawn(async move {
+            // The receiver is dropped when the outcome is known.
+            while sender
+                .send((address, admin::status(address).await))
+                .await
+                .is_ok()
+            {
+                tokio::time::sleep(POLL).await;
+            }
+        });
+    }
+    receiver
 }
 
 /// What the client has learned of cells and nodes.
@@ -150,37 +186,44 @@
 struct Watch {
     records: BTreeMap<String, Record>,
     next_revision: u64,
-    /// Why nodes gave no status at the last look.
-    silent: Vec<admin::Error>,
+    has_read: bool,
+    /// The nodes that were asked, and why the last attempt gave no status.
+    heard: BTreeMap<SocketAddr, Option<admin::Error>>,
 }
 
 impl Watch {
-    async fn look(&mut self, context: &Context, store: &Store, acceptance: &mut Acceptance) {
-        if let Ok(heads) = record::heads(store, self.next_revision).await {
-            let read = heads.records.into_iter();
-            self.records
-                .extend(read.map(|(cell, stored)| (cell, stored.record)));
-            // A damaged record hides the members of its cell, so that the read does not count.
-            if heads.damaged.is_empty() {
-                self.next_revision = heads.revision + 1;
-                acceptance.records(&self.records);
+    fn hear(&mut self, (address, answer): Answer, acceptance: &mut Acceptance) {
+        match answer {
+            Ok(status) => {
+                acceptance.status(&status);
+                self.heard.insert(address, None);
             }
-        }
-        let mut asked = JoinSet::new();
-        for address in &context.nodes {
-            asked.spawn(admin::status(*address));
-        }
-        self.silent.clear();
-        for answer in asked.join_all().await {
-            match answer {
-                Ok(status) => acceptance.status(&status),
-                Err(fault) => self.silent.push(fault),
+            Err(fault) => {
+                self.heard.insert(address, Some(fault));
             }
         }
     }
+
+    async fn read(&mut self, store: &Store, acceptance: &mut Acceptance) {
+        self.has_read = true;
+        let Ok(heads) = record::heads(store, self.next_revision).await else {
+            return;
+        };
+        let read = heads.records.into_iter();
+        self.records
+            .extend(read.map(|(cell, stored)| (cell, stored.record)));
+        // A damaged record hides the members of its cell, so that the read does not count.
+        if heads.damaged.is_empty() {
+            self.next_revision = heads.revision + 1;
+            acceptance.records(&self.records);
+        }
+    }
 }
 
-fn describe(entry: &Entry, waiting: &[Unconfirmed], silent: &[admin::Error]) -> Report {
+fn describe<'f, S>(entry: &Entry, waiting: &[Unconfirmed], silent: S) -> Report
+where
+    S: Iterator<Item = &'f admin::Error>,
+{
     let (version, operation) = (entry.version, &entry.operation);
     let mut json = json!({
         "version": version,
@@ -204,7 +247,7 @@
         };
         lines.push(format!("  cell {}: {}{missing}", cell.cell, cell.reason));
     }
-    lines.extend(silent.iter().map(|fault| format!("  {fault}")));
+    lines.extend(silent.map(|fault| format!("  {fault}")));
     lines.push(format!(
         "ask again with `redwinggrade history --operation {operation}`, with --node for each cell above"
     ));
@@ -222,13 +265,22 @@
         .collect()
 }
 
+/// Returns the base that a well-formed operation id names.
+///
+/// A damaged id must not be looked up: its absence from the log would read as "never took effect".
+pub fn base_of(operation: &str) -> Option<u64> {
+    let (base, tag) = operation.split_once('-')?;
+    let is_tag = tag.len() == OPERATION_DIGITS && tag.bytes().all(|byte| byte.is_ascii_hexdigit());
+    if is_tag { base.parse().ok() } else { None }
+}
+
 /// An operation id names its base, so that its outcome is one look-up in the log.
 fn origin(base: u64) -> Origin {
     let since_epoch = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default();
     Origin {
-        operation: format!("{base}-{:016x}", rand::random::<u64>()),
+        operation: format!("{base}-{:0OPERATION_DIGITS$x}", rand::random::<u64>()),
         author: std::env::var("USER").unwrap_or_else(|_| "unknown".to_owned()),
         written_ms: since_epoch.as_millis() as u64,
     }
--- a/src/command/history.rs
+++ b/src/command/history.rs
@@ -45,13 +45,10 @@
     store: &Store,
     operation: &str,
 ) -> Result<Report, Failure> {
-    let base: u64 = operation
-        .split_once('-')
-        .and_then(|(base, _)| base.parse().ok())
-        .ok_or_else(|| {
-            Failure::new(Exit::Usage, format!("{operation} is not an operation id"))
-                .hint("use the id that the command printed, such as 17-0123456789abcdef")
-        })?;
+    let base = change::base_of(operation).ok_or_else(|| {
+        Failure::new(Exit::Usage, format!("{operation} is not an operation id"))
+            .hint("use the id that the command printed, such as 17-0123456789abcdef")
+    })?;
     let found = match settings::entry(store, base + 1).await {
         Err(settings::Error::Store(fault)) => {
             return Err(change::unknown(operation, &fault.to_string()));
@@ -63,7 +60,7 @@
         Some(entry) if entry.operation != operation => Err(Failure::new(
             Exit::Conflict,
             format!(
-                "operation {operation} did not take effect and never will: version {} is {}",
+                "operation {operation} did not take effect and never will: version {} is of operation {}",
                 entry.version, entry.operation
             ),
         )
--- a/tests/command.rs
+++ b/tests/command.rs
@@ -21,7 +21,7 @@
     let path = path.to_owned();
     let new = edit::apply(&old, &[Edit::Set { path, value }]).unwrap();
     let origin = Origin {
-        operation: format!("{}-other", mark.version()),
+        operation: format!("{}-00000000000000aa", mark.version()),
         author: "other".to_owned(),
         written_ms: 0,
     };
@@ -121,7 +121,7 @@
     let file = workdir.file("mine.yaml", &shown.replace("queue: 10", "queue: 12"));
     let run = workdir.run(&["apply", &file]).await;
     assert_eq!(run.code, 4, "{run:?}");
-    assert_eq!(operations(&workdir)[1], "1-other");
+    assert_eq!(operations(&workdir)[1], "1-00000000000000aa");
 
     // A single-value change keeps its meaning on any version and is made again on the newest.
     let race = other_change(&workdir, "defaults.slots", 8.into()).await;
@@ -325,6 +325,7 @@
 #[case(&["check", "/no/such/file"], 1, "No such file")]
 #[case(&["explain", "defaults.nothing"], 1, "unknown key")]
 #[case(&["history", "--operation", "nonsense"], 2, "not an operation id")]
+#[case(&["history", "--operation", "0-0123456789abcdef,"], 2, "not an operation id")]
 #[case(&["apply", "FILE", "--rewrite"], 2, "--base")]
 #[case(&["unknown"], 2, "unrecognized subcommand")]
 #[tokio::test]
