Count failed legs by reason in the bench

Cause: a failed query only shows low coverage; the reason lies with its legs. Change: each row has the failures of legs by reason.

--- a/bench/src/report.rs
+++ b/bench/src/report.rs
@@ -41,6 +41,8 @@
     pub below_percent: f64,
     /// Queries without an answer, by reason.
     pub failures: BTreeMap<String, u64>,
+    /// Legs that ended without an answer, by reason.
+    pub leg_failures: BTreeMap<String, u64>,
     /// Legs by cause.
     pub legs: Second,
     /// Extra legs in percent of the first ones.
@@ -83,6 +85,7 @@
             legs: stats.total(),
             extra_percent: stats.total().extra_percent(),
             failures: stats.failures,
+            leg_failures: stats.leg_failures,
             cold_running: outcomes.cold_running,
             cold_rate: outcomes.cold_rate,
             last_out_ms: stats.last_out_us as f64 / 1e3,
@@ -131,9 +134,16 @@
             part(legs.retries),
             part(legs.restarts)
         )?;
-        if !self.failures.is_empty() {
-            write!(out, "  failures     ")?;
-            for (reason, count) in &self.failures {
+        let failed = [
+            ("failures     ", &self.failures),
+            ("leg failures ", &self.leg_failures),
+        ];
+        for (name, counts) in failed {
+            if counts.is_empty() {
+                continue;
+            }
+            write!(out, "  {name}")?;
+            for (reason, count) in counts {
                 write!(out, " {reason} {count}")?;
             }
             writeln!(out)?;
--- a/bench/src/stats.rs
+++ b/bench/src/stats.rs
@@ -77,6 +77,8 @@
     pub ended: u64,
     /// Queries without an answer, by reason.
     pub failures: BTreeMap<String, u64>,
+    /// Legs that ended without an answer, by reason.
+    pub leg_failures: BTreeMap<String, u64>,
     /// Figures by second of the run.
     pub seconds: Vec<Second>,
     /// What must never happen.
@@ -96,6 +98,7 @@
             started: 0,
             ended: 0,
             failures: BTreeMap::new(),
+            leg_failures: BTreeMap::new(),
             seconds: vec![Second::default(); seconds as usize],
             violations: Violations::default(),
             last_out_us: 0,
--- a/bench/src/world.rs
+++ b/bench/src/world.rs
@@ -520,7 +520,10 @@
                 leg,
                 outcome,
                 load,
-            } => self.step(id, QueryEvent::Result { leg, outcome, load }),
+            } => {
+                self.count_failure(id, &outcome);
+                self.step(id, QueryEvent::Result { leg, outcome, load });
+            }
             Event::CancelLeg {
                 node,
                 target,
@@ -742,6 +745,18 @@
         }
     }
 
+    fn count_failure(&mut self, id: u64, outcome: &Outcome) {
+        // Cancelled legs also fail, but their query has ended or no longer waits for them.
+        if let Outcome::Failure(reason) = outcome
+            && self.now >= START + SETTLE
+            && *reason != Reason::Cancelled
+            && self.queries.contains_key(&id)
+        {
+            let counts = &mut self.stats.leg_failures;
+            *counts.entry(reason.to_string()).or_default() += 1;
+        }
+    }
+
     fn finish(&mut self, id: u64, verdict: Verdict) {
         let query = self.queries.remove(&id).expect("a query ends once");
         if query.began < START + SETTLE {
