Offer slow replicas a share of the legs in proportion to their rate

A cold target is served at 20 starts per second, but the order of replicas preferred it for being local, and between two exchanges all coordinators sent it their legs, which expired in its paced queue while the retry budget was used up. Change: the reported latency of a paced gate shows its pace. The order by least wait gives a replica below a quarter of the best rate at most half of its share by rate, and otherwise ranks it last.

--- a/src/process/gate.rs
+++ b/src/process/gate.rs
@@ -188,12 +188,18 @@
     }
 
     /// Returns the load of the target as the gate counts it.
+    ///
+    /// While starts are paced, the pace takes the place of the latency if it allows less, so that
+    /// limit and latency show the rate that the target serves.
     pub fn load(&self) -> Load {
+        let limit = self.ramp.limit();
+        let paced = self.ramp.interval().saturating_mul(u32::from(limit));
+        let latency = self.ramp.latency().max(paced);
         Load {
             queued: u16::try_from(self.queue.len()).unwrap_or(u16::MAX),
             running: u16::try_from(self.running.len()).unwrap_or(u16::MAX),
-            limit: self.ramp.limit(),
-            latency_us: u32::try_from(self.ramp.latency().as_micros()).unwrap_or(u32::MAX),
+            limit,
+            latency_us: u32::try_from(latency.as_micros()).unwrap_or(u32::MAX),
         }
     }
 
--- a/src/request/choice.rs
+++ b/src/request/choice.rs
@@ -11,6 +11,15 @@
 /// centre and back at the latencies of today.
 const FULL: u64 = 4;
 
+/// A replica that serves less than this part of what the best one does counts as slow.
+const SLOW: u64 = 4;
+
+/// The part of its capacity, as one in this number, that is offered to a slow replica.
+///
+/// Legs arrive at random, so that a cold target that is offered its whole rate would have a queue as
+/// long as the deadline.
+const SLOW_USE: u64 = 2;
+
 /// How replicas are ordered; the simpler ways exist for comparison by the benchmark.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Policy {
@@ -50,15 +59,23 @@
     });
     let remote = |key: TargetKey| *directory.target(key).data_centre != *preference.data_centre;
     match preference.policy {
-        Policy::LeastWait => eligible.min_by_key(|&key| {
-            let load = directory.target(key).load;
-            (
-                is_full(load),
-                remote(key),
-                magnitude(wait(load)),
-                mix(preference.seed, key),
-            )
-        }),
+        Policy::LeastWait => {
+            let usable = replicas.iter().map(|&key| directory.target(key));
+            let rates = usable
+                .filter(|target| target.takes_work())
+                .map(|target| rate(target.load));
+            let (best, sum) = rates.fold((0, 0), |(best, sum), rate| (rate.max(best), sum + rate));
+            eligible.min_by_key(|&key| {
+                let load = directory.target(key).load;
+                let draw = mix(preference.seed, key);
+                (
+                    Class::of(load, best, sum, draw),
+                    remote(key),
+                    magnitude(wait(load)),
+                    draw,
+                )
+            })
+        }
         Policy::Random => eligible.min_by_key(|&key| (remote(key), mix(preference.seed, key))),
         Policy::RoundRobin(turn) => {
             let local = eligible.clone().filter(|&key| !remote(key)).count() as u64;
@@ -74,6 +91,41 @@
     }
 }
 
+/// The first criterion of the order by least wait.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Class {
+    /// A slow replica whose turn it is.
+    Turn,
+    Usual,
+    /// A full replica, or a slow one whose turn it is not.
+    Last,
+}
+
+impl Class {
+    /// Classes a replica by its load, the highest rate and the sum of the rates of all replicas.
+    ///
+    /// A slow replica, such as one in cold start, gets at most a share of the legs in proportion to
+    /// its rate. Its reported load cannot show this in time: between two reports all coordinators
+    /// would send it their legs, which would then expire in its queue.
+    fn of(load: Load, best: u64, sum: u64, draw: u64) -> Self {
+        let rate = rate(load);
+        if is_full(load) {
+            Self::Last
+        } else if rate.saturating_mul(SLOW) >= best {
+            Self::Usual
+        } else if draw % sum.saturating_mul(SLOW_USE).max(1) < rate {
+            Self::Turn
+        } else {
+            Self::Last
+        }
+    }
+}
+
+/// Returns the legs per second that a target serves at its reported limit and latency.
+fn rate(load: Load) -> u64 {
+    u64::from(load.limit.max(1)) * 1_000_000 / u64::from(load.latency_us.max(1))
+}
+
 fn is_full(load: Load) -> bool {
     u64::from(load.queued) + u64::from(load.running) >= FULL * u64::from(load.limit.max(1))
 }
