Wait until a process is frozen before a test goes on

freezes_and_continues failed once in a run of the whole workspace at load average 30; 40 runs alone passed.

--- a/standins/src/process.rs
+++ b/standins/src/process.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, bail};
-use rustix::process::{Pid, kill_process};
+use rustix::process::{Pid, WaitOptions, kill_process, waitpid};
 
 /// Bounds every wait. It only ends waits that would never end otherwise, so it may be far longer
 /// than what a busy machine needs.
@@ -150,15 +150,21 @@
         if let Some(status) = self.child.try_wait()? {
             bail!("{} has ended with {status}", self.name);
         }
-        let signal = match signal {
+        let number = match signal {
             Signal::Terminate => rustix::process::Signal::TERM,
             Signal::Kill => rustix::process::Signal::KILL,
             Signal::Stop => rustix::process::Signal::STOP,
             Signal::Continue => rustix::process::Signal::CONT,
         };
         // The id cannot belong to another process, because this one has not been waited for.
-        kill_process(Pid::from_child(&self.child), signal)
-            .with_context(|| format!("cannot signal {}", self.name))
+        let id = Pid::from_child(&self.child);
+        kill_process(id, number).with_context(|| format!("cannot signal {}", self.name))?;
+        if signal == Signal::Stop {
+            // The signal takes effect some time after it was sent. A test that counts on a frozen
+            // process must not go on before, which one run on a loaded machine showed.
+            waitpid(Some(id), WaitOptions::UNTRACED)?;
+        }
+        Ok(())
     }
 
     /// Waits until the process has ended.
