Give nodes their address lists and planned stop; retry a frozen node's queries

Latencies were kept by the bare service name, which two indexes share (s00 of proof viewing and of the dealer catalog); they are now kept by index and service. In the demo's freeze phase 5 of 673 queries got no answer because the caller waited for the frozen node until the deadline; an idempotent query now goes to another node while half of its time is left.

--- a/harness/src/fleet.rs
+++ b/harness/src/fleet.rs
@@ -1,5 +1,6 @@
 //! The processes of one installation: stand-ins and nodes, with the operators' client.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
@@ -260,6 +261,23 @@
         Ok(value.map_or(Ok(0.0), str::parse)?)
     }
 
+    /// Returns the sum over the running nodes of each counter with its labels.
+    pub async fn counters(&self) -> anyhow::Result<BTreeMap<String, f64>> {
+        let mut sums = BTreeMap::new();
+        for node in self.nodes.iter().filter(|node| node.process.is_some()) {
+            let response = http::call(node.admin, "GET", "/metrics", &[], Vec::new()).await?;
+            let text = String::from_utf8_lossy(response.body()).into_owned();
+            for line in text.lines().filter(|line| !line.starts_with('#')) {
+                let Some((name, value)) = line.rsplit_once(' ') else {
+                    continue;
+                };
+                let name = name.trim_start_matches("redwinggrade_").to_owned();
+                *sums.entry(name).or_default() += value.parse::<f64>().unwrap_or(0.0);
+            }
+        }
+        Ok(sums)
+    }
+
     /// Waits until every running node holds a permit and its cell lists all of them.
     pub async fn wait_permits(&self) -> anyhow::Result<()> {
         for number in 0..self.nodes.len() {
--- a/harness/src/main.rs
+++ b/harness/src/main.rs
@@ -35,6 +35,9 @@
     /// Run only the phases with these names
     #[arg(long, value_delimiter = ',')]
     only: Vec<String>,
+    /// Print the counters of the nodes that grew in each phase
+    #[arg(long)]
+    counters: bool,
     /// The folder with the settings files of the users
     #[arg(long, default_value = "examples")]
     examples: PathBuf,
--- a/harness/src/scene.rs
+++ b/harness/src/scene.rs
@@ -1,5 +1,6 @@
 //! The phases of the demo, each with one fault.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use redwinggrade_demo::fleet::{Config, Fleet};
@@ -123,9 +124,13 @@
         }
         say(&format!("{:>14}: {}", phase.name(), phase.what()));
         let from = load.elapsed();
+        let before = scene.fleet.counters().await?;
         scene
             .bring_about(phase, Duration::from_secs(args.phase))
             .await?;
+        if args.counters {
+            grown(&before, &scene.fleet.counters().await?);
+        }
         let to = load.elapsed();
         spans.push(Span { phase, from, to });
     }
@@ -407,3 +412,20 @@
         );
     }
 }
+
+/// Prints the counters of refusals, legs and failures that grew during a phase.
+fn grown(before: &BTreeMap<String, f64>, after: &BTreeMap<String, f64>) {
+    for (name, value) in after {
+        let growth = value - before.get(name).unwrap_or(&0.0);
+        let counts = [
+            "refusals",
+            "legs",
+            "leg_failures",
+            "dispatches",
+            "target_connections",
+        ];
+        if growth > 0.0 && counts.iter().any(|prefix| name.starts_with(prefix)) {
+            println!("{:>16}{name} +{growth}", "");
+        }
+    }
+}
--- a/src/client/mod.rs
+++ b/src/client/mod.rs
@@ -22,6 +22,8 @@
 const MAX_ATTEMPTS: u32 = 6;
 /// The wait before the first retry; it doubles with each further one.
 const FIRST_BACKOFF: Duration = Duration::from_millis(20);
+/// The least time for an attempt; a shorter one would only add load.
+const LEAST_ATTEMPT: Duration = Duration::from_millis(100);
 /// How much longer than the deadline the client waits, to receive a refusal that was sent in time.
 const ANSWER_MARGIN: Duration = Duration::from_millis(500);
 /// The time allowed for an addresses answer.
@@ -175,7 +177,7 @@
             let place = first.wrapping_add(u64::from(*attempts)) % listed.addresses.len() as u64;
             let address = listed.addresses[place as usize];
             *attempts += 1;
-            let timeout = self.clock.now().until(give_up);
+            let timeout = attempt_limit(query, left, self.clock.now().until(give_up));
             match self.attempt(address, query, &request, left, timeout).await {
                 Attempt::Answer(answer) => return Ok(answer),
                 Attempt::Refused(refusal) if !retryable(&refusal) => {
@@ -291,6 +293,18 @@
     }
 }
 
+/// Returns how long one attempt may take.
+///
+/// A node that is frozen accepts connections and answers nothing. A request that may run twice is
+/// sent to another node while half of its time is left.
+fn attempt_limit(query: &Query, left: Duration, whole: Duration) -> Duration {
+    if query.idempotent && left > LEAST_ATTEMPT * 2 {
+        left / 2
+    } else {
+        whole
+    }
+}
+
 fn retryable(refusal: &Refusal) -> bool {
     match refusal.reason {
         Reason::Stopping
--- a/src/process/control.rs
+++ b/src/process/control.rs
@@ -250,6 +250,8 @@
     own: Option<(Record, u64)>,
     contacts: HashMap<String, Contact>,
     summaries: HashMap<String, Reported>,
+    /// Since when each incarnation is known as a member of its cell.
+    joined: HashMap<(String, Incarnation), Moment>,
     own_mark: u64,
     assignment: Assignment,
     announced: bool,
@@ -286,6 +288,7 @@
             own: None,
             contacts: HashMap::new(),
             summaries: HashMap::new(),
+            joined: HashMap::new(),
             own_mark: 0,
             assignment: Assignment::default(),
             announced: false,
@@ -827,30 +830,57 @@
             log::error!(error:% = e; "a target's gateway could not be started");
             self.dirty = true;
         }
-        let unavailable = self.unavailable(now);
+        self.note_members(now);
+        let unseen = self.unseen(now);
+        let stopping = self.stopping();
         let view = View::build(&Sources {
             settings: self.replica.version(),
             tree: &tree,
             list: &self.list,
             records: &self.records,
             summaries: &self.summaries,
-            unavailable: &unavailable,
+            unseen: &unseen,
+            stopping: &stopping,
+            joined: &self.joined,
         });
         self.shared.view.store(Arc::new(view));
     }
 
-    /// Returns the nodes that are stopping or have not answered lately.
-    fn unavailable(&self, now: Moment) -> HashSet<&str> {
-        let mut names: HashSet<&str> = self.cell.unavailable(now).into_iter().collect();
-        let own = self.cell.record().map_or(&[][..], |record| &record.members);
-        let foreign = self
-            .contacts
-            .values()
-            .filter(|contact| !own.contains(&contact.member))
-            .filter(|contact| contact.stopping || now.since(contact.heard) >= LIVE);
-        names.extend(foreign.map(|contact| contact.member.name.as_str()));
-        names.remove(self.config.me.name.as_str());
-        names
+    /// Notes since when each incarnation is a member, for the slow start of new ones.
+    fn note_members(&mut self, now: Moment) {
+        // At its own start a node cannot tell who is new, so that everybody counts as old.
+        let now = if self.joined.is_empty() {
+            Moment::ZERO
+        } else {
+            now
+        };
+        let members = self.records.values().flat_map(|record| &record.members);
+        let keys = members.map(|member| (member.name.clone(), member.incarnation));
+        let before = std::mem::take(&mut self.joined);
+        self.joined = keys
+            .map(|key| {
+                let since = before.get(&key).copied().unwrap_or(now);
+                (key, since)
+            })
+            .collect();
+    }
+
+    /// Returns the nodes that have not answered lately.
+    fn unseen(&self, now: Moment) -> HashSet<&str> {
+        let contacts = self.contacts.values();
+        contacts
+            .filter(|contact| now.since(contact.heard) >= LIVE)
+            .map(|contact| contact.member.name.as_str())
+            .collect()
+    }
+
+    /// Returns the nodes that have announced their stop.
+    fn stopping(&self) -> HashSet<&str> {
+        let contacts = self.contacts.values();
+        contacts
+            .filter(|contact| contact.stopping)
+            .map(|contact| contact.member.name.as_str())
+            .collect()
     }
 }
 
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -1,7 +1,7 @@
 //! One node: what its callers, its peers and its operators reach.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime};
 
@@ -16,9 +16,11 @@
 use tokio::sync::mpsc;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::address::{self, Candidate, KEEP};
 use super::config::Config;
 use super::control::{self, Control, EXCHANGE_PATH, RECORDS_PATH, SETTINGS_PATH};
 use super::coordinator::{CANCEL_PATH, Cancel, Coordinator};
+use super::drain::{Drain, Event, Phase};
 use super::gateway::{Gateway, Offered};
 use super::ledger::{Begun, Ledger};
 use super::metrics::Metrics;
@@ -40,10 +42,8 @@
 
 /// The path of a non-idempotent request on its way to the node that issued its session.
 const RUN_PATH: &str = "/peer/run";
-/// How long callers may keep addresses.
-pub const KEEP: Duration = Duration::from_secs(2);
-/// Addresses in one answer; more would only be kept unused.
-const ADDRESSES_MAX: usize = 5;
+/// How often a planned stop looks whether it can go on.
+const DRAIN_PERIOD: Duration = Duration::from_millis(20);
 /// When a caller should try again after a refusal that another node may not share.
 const RETRY_AFTER: Duration = Duration::from_millis(50);
 
@@ -66,10 +66,9 @@
     control: Control,
     ledger: Ledger,
     coordinator: Coordinator,
-    /// Whether the node refuses new work because it stops.
-    refusing: AtomicBool,
-    /// Whether the node is left out of address lists because it stops.
-    unlisted: AtomicBool,
+    drain: Mutex<Drain>,
+    /// Requests of callers that run now; work for other nodes ends with the gateway.
+    running: AtomicUsize,
     /// Since when the settings have the node or its data centre out of service, in microseconds.
     out_since: AtomicU64,
     requests: AtomicU64,
@@ -115,15 +114,12 @@
     /// Stops as planned: leaves the address lists, serves for as long as callers keep them, refuses
     /// with other addresses, and finishes what it has.
     pub async fn stop(self) {
-        log::info!("planned stop: leaving the address lists");
-        self.shared.unlisted.store(true, Ordering::Release);
         self.shared.control.announce_stop();
-        tokio::time::sleep(KEEP + LIST_MARGIN).await;
-        log::info!("planned stop: refusing new work");
-        self.shared.refusing.store(true, Ordering::Release);
-        tokio::time::sleep(REFUSE).await;
+        self.shared
+            .drain()
+            .step(Event::Stop, self.shared.clock.now());
+        self.shared.drained().await;
         self.callers.close().await;
-        log::info!("planned stop: all requests have ended");
         self.shared.coordinator.gateway.close().await;
         self.shared.control.leave();
         tokio::time::sleep(RELEASE).await;
@@ -131,10 +127,6 @@
     }
 }
 
-/// How long address lists that name this node may still be given out by nodes that have not heard.
-const LIST_MARGIN: Duration = Duration::from_secs(1);
-/// How long new work is refused with other addresses before connections are closed.
-const REFUSE: Duration = Duration::from_millis(500);
 /// How long the node still answers peers after it released its targets, so that they learn of it.
 const RELEASE: Duration = Duration::from_millis(1_500);
 
@@ -187,8 +179,8 @@
             control,
             ledger,
             coordinator,
-            refusing: AtomicBool::new(false),
-            unlisted: AtomicBool::new(false),
+            drain: Mutex::new(Drain::open(clock.now())),
+            running: AtomicUsize::new(0),
             out_since: AtomicU64::new(IN_SERVICE),
             requests: AtomicU64::new(0),
         })
@@ -196,32 +188,47 @@
 
     /// Returns the addresses that callers may use, in an order that spreads load.
     fn listed(&self, view: &View) -> Vec<SocketAddr> {
-        let unlisted = self.unlisted.load(Ordering::Acquire);
-        let (local, remote): (Vec<_>, Vec<_>) = view
+        let listed = self.drain().listed();
+        let candidates: Vec<Candidate> = view
             .nodes
             .values()
-            .filter(|node| node.usable && !(unlisted && node.member.name == self.me.name))
-            .partition(|node| node.data_centre == self.config.data_centre);
-        let turn = self.requests.fetch_add(1, Ordering::Relaxed) as usize;
-        let rotate = |nodes: Vec<&super::view::Node>| {
-            let count = nodes.len().max(1);
-            let addresses: Vec<_> = nodes.iter().map(|node| node.member.caller).collect();
-            let split = turn % count;
-            [
-                &addresses[split.min(addresses.len())..],
-                &addresses[..split.min(addresses.len())],
-            ]
-            .concat()
-        };
-        let mut addresses = rotate(local);
-        addresses.extend(rotate(remote));
-        addresses.truncate(ADDRESSES_MAX);
-        addresses
+            .map(|node| Candidate {
+                caller: node.member.caller,
+                local: node.data_centre == self.config.data_centre,
+                joined: node.joined,
+                state: if node.member.name == self.me.name && !listed {
+                    address::State::Stopping
+                } else {
+                    node.state
+                },
+            })
+            .collect();
+        address::list(&candidates, &mut rand::rng(), self.clock.now())
+    }
+
+    fn drain(&self) -> std::sync::MutexGuard<'_, Drain> {
+        self.drain
+            .lock()
+            .expect("no code panics while it holds the state of the stop")
+    }
+
+    /// Follows a planned stop until it has come to its end.
+    async fn drained(&self) {
+        let mut phase = self.drain().phase();
+        while phase != Phase::Done {
+            tokio::time::sleep(DRAIN_PERIOD).await;
+            let running = self.running.load(Ordering::Acquire);
+            let next = self.drain().step(Event::Tick { running }, self.clock.now());
+            if next != phase {
+                log::info!(phase:? = next, running; "planned stop goes on");
+                phase = next;
+            }
+        }
     }
 
     /// Refuses while the node may not take new work.
     fn admit(&self, view: &View, now: Moment) -> Result<(), Refusal> {
-        if self.refusing.load(Ordering::Acquire) {
+        if !self.drain().accepts() {
             return Err(self.elsewhere(Reason::Stopping, "this node is stopping", view));
         }
         if self.is_out(view, now) {
@@ -455,6 +462,23 @@
     }
 }
 
+/// Counts a caller's request for as long as it lives.
+#[derive(Debug)]
+struct Running(Arc<Shared>);
+
+impl Running {
+    fn new(shared: &Arc<Shared>) -> Self {
+        shared.running.fetch_add(1, Ordering::AcqRel);
+        Self(Arc::clone(shared))
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.running.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
 /// What the node's servers hand their requests to.
 #[derive(Debug, Deref)]
 struct Entry(Arc<Shared>);
@@ -477,6 +501,7 @@
     }
 
     async fn query(&self, ask: Ask) -> Reply {
+        let _running = Running::new(&self.0);
         self.metrics.requests.inc();
         let start = self.clock.now();
         match self.answer(ask).await {
@@ -496,7 +521,7 @@
     }
 
     fn closing(&self) -> bool {
-        self.refusing.load(Ordering::Acquire)
+        !self.drain().accepts()
     }
 }
 
--- a/src/process/view.rs
+++ b/src/process/view.rs
@@ -7,14 +7,14 @@
 use std::sync::Arc;
 
 use super::gateway::Owned;
-use super::owner;
+use super::{address, owner};
 use crate::connection::members::{Instance, List, Role, State};
 use crate::process::cell::{Basis, GRACE};
 use crate::time::Moment;
 use crate::version::directory::{Directory, Target};
 use crate::version::tree::{self, Tree};
 use crate::wire::exchange::{Record, Summary};
-use crate::wire::{Load, Member};
+use crate::wire::{Incarnation, Load, Member};
 
 /// A summary and the node that gave it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -38,8 +38,12 @@
     pub records: &'a BTreeMap<String, Record>,
     /// The newest summary of each target.
     pub summaries: &'a HashMap<String, Reported>,
-    /// Nodes that are stopping or do not answer.
-    pub unavailable: &'a HashSet<&'a str>,
+    /// Nodes that do not answer.
+    pub unseen: &'a HashSet<&'a str>,
+    /// Nodes that have announced their stop.
+    pub stopping: &'a HashSet<&'a str>,
+    /// Since when each incarnation is known as a member.
+    pub joined: &'a HashMap<(String, Incarnation), Moment>,
 }
 
 /// What a node knows at one moment.
@@ -62,8 +66,10 @@
     pub member: Member,
     /// Its data centre.
     pub data_centre: String,
-    /// Whether callers may be sent to it.
-    pub usable: bool,
+    /// Whether it takes callers.
+    pub state: address::State,
+    /// When this node first saw it as a member.
+    pub joined: Moment,
 }
 
 impl View {
@@ -94,14 +100,12 @@
                 continue;
             };
             for member in &record.members {
-                let usable = in_service
-                    && sources.tree.instance_state(&member.name) == tree::State::In
-                    && !leaving(&member.name, sources.list)
-                    && !sources.unavailable.contains(member.name.as_str());
+                let key = (member.name.clone(), member.incarnation);
                 let node = Node {
                     member: member.clone(),
                     data_centre: name.to_owned(),
-                    usable,
+                    state: state(&member.name, in_service, sources),
+                    joined: sources.joined.get(&key).copied().unwrap_or_default(),
                 };
                 nodes.insert(member.name.clone(), node);
             }
@@ -110,6 +114,19 @@
     nodes
 }
 
+fn state(name: &str, in_service: bool, sources: &Sources<'_>) -> address::State {
+    if !in_service || sources.tree.instance_state(name) == tree::State::Out {
+        return address::State::Out;
+    }
+    if sources.stopping.contains(name) || leaving(name, sources.list) {
+        return address::State::Stopping;
+    }
+    if sources.unseen.contains(name) {
+        return address::State::Unseen;
+    }
+    address::State::Serving
+}
+
 fn leaving(name: &str, list: &List) -> bool {
     list.instances
         .get(name)
@@ -148,14 +165,15 @@
     let usable = in_service(instance, sources.tree)
         && gateway.is_some_and(|gateway| {
             reported.is_some_and(|reported| reported.by == *gateway && reported.summary.usable)
-                && !sources.unavailable.contains(gateway.name.as_str())
+                && !sources.unseen.contains(gateway.name.as_str())
         });
     Target {
         name: instance.name.as_str().into(),
         address: instance.address,
         data_centre: instance.data_centre.as_str().into(),
         index: instance.index.as_str().into(),
-        service: instance.service.as_str().into(),
+        // Latencies and budgets are kept by service, and services of two indexes may share a name.
+        service: format!("{}/{}", instance.index, instance.service).into(),
         replica: instance.replica,
         gateway: gateway.cloned(),
         usable,
