Let a member list count for acceptance only once it is GRACE old

A list now counts once the client or a node has known it for GRACE; a status gives that age as record.age_ms.

--- a/src/command/change.rs
+++ b/src/command/change.rs
@@ -18,7 +18,7 @@
 use crate::connection::settings::{self, Mark, Written};
 use crate::connection::store::Store;
 use crate::process::record;
-use crate::time::Moment;
+use crate::time::{Clock, Moment};
 use crate::version::Tree;
 use crate::version::acceptance::{Acceptance, Status, Unconfirmed};
 use crate::version::edit::{self, Edit};
@@ -146,8 +146,8 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let waiting = loop {
         tokio::select! {
-            Some(answer) = answers.recv() => watch.hear(answer, &mut acceptance),
-            _ = ticks.tick() => watch.read(store, &mut acceptance).await,
+            Some(answer) = answers.recv() => watch.hear(answer, &mut acceptance, context.clock.now()),
+            _ = ticks.tick() => watch.read(store, &mut acceptance, context.clock).await,
         }
         let now = context.clock.now();
         let waiting = acceptance.unconfirmed(now);
@@ -192,10 +192,10 @@
 }
 
 impl Watch {
-    fn hear(&mut self, (address, answer): Answer, acceptance: &mut Acceptance) {
+    fn hear(&mut self, (address, answer): Answer, acceptance: &mut Acceptance, now: Moment) {
         match answer {
             Ok(status) => {
-                acceptance.status(&status);
+                acceptance.status(&status, now);
                 self.heard.insert(address, None);
             }
             Err(fault) => {
@@ -204,7 +204,7 @@
         }
     }
 
-    async fn read(&mut self, store: &Store, acceptance: &mut Acceptance) {
+    async fn read(&mut self, store: &Store, acceptance: &mut Acceptance, clock: Clock) {
         self.has_read = true;
         let Ok(heads) = record::heads(store, self.next_revision).await else {
             return;
@@ -215,7 +215,7 @@
         // A damaged record hides the members of its cell, so that the read does not count.
         if heads.damaged.is_empty() {
             self.next_revision = heads.revision + 1;
-            acceptance.records(&self.records);
+            acceptance.records(&self.records, clock.now());
         }
     }
 }
--- a/src/version/acceptance.rs
+++ b/src/version/acceptance.rs
@@ -2,7 +2,9 @@
 //!
 //! A cell has confirmed a version when every member is at it or later, or when a majority is and
 //! `GRACE` has passed since the client first saw that majority: every other member is then current
-//! or without a permit. See `docs/design.md`, section 5.
+//! or without a permit. The same holds for a node that was removed from the cell: it may use a
+//! permit at the older version for `GRACE` after its removal, so that a member list counts only once
+//! it is that old. See `docs/design.md`, section 5.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -47,6 +49,9 @@
     pub revision: u64,
     /// The members.
     pub members: Vec<Name>,
+    /// How long the node has known this member list, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub age_ms: Option<u64>,
 }
 
 /// A member's name.
@@ -73,6 +78,7 @@
     fn from(record: &Record) -> Self {
         Self {
             revision: record.revision,
+            age_ms: None,
             members: record
                 .members
                 .iter()
@@ -96,6 +102,8 @@
 #[derive(Debug, Default)]
 struct Cell {
     roster: Option<Roster>,
+    /// When the member list will have been known for [`GRACE`].
+    settled: Moment,
     /// The store was read after the write and holds no record of the cell.
     vacant: bool,
     /// Members that were seen at the version or later; versions never go back.
@@ -136,11 +144,11 @@
     ///
     /// A cell without a record has no member that could hold a permit. A cell with a record counts
     /// even if the settings no longer name it, because its nodes may still be running.
-    pub fn records(&mut self, records: &BTreeMap<String, Record>) {
+    pub fn records(&mut self, records: &BTreeMap<String, Record>, now: Moment) {
         self.complete = true;
         for (name, record) in records {
             let cell = self.cells.entry(name.clone()).or_default();
-            cell.learn(Roster::from(record));
+            cell.learn(&Roster::from(record), now);
         }
         for (name, cell) in &mut self.cells {
             cell.vacant = !records.contains_key(name);
@@ -148,11 +156,11 @@
     }
 
     /// Takes the answer of a node.
-    pub fn status(&mut self, status: &Status) {
+    pub fn status(&mut self, status: &Status, now: Moment) {
         let version = self.version;
         let cell = self.cells.entry(status.cell.clone()).or_default();
         if let Some(roster) = &status.record {
-            cell.learn(roster.clone());
+            cell.learn(roster, now);
         }
         if status.settings_version >= version {
             cell.confirmed.insert(status.node.clone());
@@ -185,21 +193,23 @@
 }
 
 impl Cell {
-    fn learn(&mut self, roster: Roster) {
+    fn learn(&mut self, roster: &Roster, now: Moment) {
         self.vacant = false;
-        let known = self.roster.as_ref().map(|known| known.revision);
-        if known.is_some_and(|known| known >= roster.revision) {
-            return;
-        }
-        // A majority of another member list proves nothing about this one.
-        let changed = self
-            .roster
-            .as_ref()
-            .is_some_and(|known| known.members != roster.members);
-        if changed {
-            self.majority = None;
+        let age = Duration::from_millis(roster.age_ms.unwrap_or(0));
+        let settled = now + GRACE.saturating_sub(age);
+        match &mut self.roster {
+            Some(known) if known.revision > roster.revision => {}
+            Some(known) if known.members == roster.members => {
+                known.revision = roster.revision;
+                self.settled = self.settled.min(settled);
+            }
+            _ => {
+                // A majority of another member list proves nothing about this one.
+                self.majority = None;
+                self.settled = settled;
+                self.roster = Some(roster.clone());
+            }
         }
-        self.roster = Some(roster);
     }
 
     fn judge(&mut self, now: Moment) -> Option<(Vec<String>, &'static str)> {
@@ -216,7 +226,10 @@
             .filter(|name| !self.confirmed.contains(name))
             .collect();
         if missing.is_empty() {
-            return None;
+            return (now < self.settled).then_some((
+                missing,
+                "a node that was removed a moment ago may still use its permit",
+            ));
         }
         let present = roster.members.len() - missing.len();
         if present * 2 <= roster.members.len() {
--- a/tests/acceptance.rs
+++ b/tests/acceptance.rs
@@ -1,9 +1,10 @@
 //! Guards the rule by which a change counts as accepted (design section 5, "Acceptance").
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use redwinggrade::time::Moment;
-use redwinggrade::version::acceptance::{Acceptance, GRACE, Name, Roster, Sighting, Status};
+use redwinggrade::version::acceptance::{Acceptance, GRACE, Roster, Sighting, Status};
 use redwinggrade::wire::exchange::Record;
 use redwinggrade::wire::{Incarnation, Member};
 use rstest::rstest;
@@ -73,12 +74,12 @@
     #[case] expected: &str,
 ) {
     let mut acceptance = Acceptance::open(VERSION, ["c"]);
-    acceptance.records(&records(&[("c", record(1, members))]));
-    acceptance.status(&status(own, seen));
     let first = Moment::from_millis(5_000);
+    acceptance.records(&records(&[("c", record(1, members))]), first - GRACE);
+    acceptance.status(&status(own, seen), first);
     let waiting = |acceptance: &mut Acceptance, now| !acceptance.unconfirmed(now).is_empty();
     assert_eq!(waiting(&mut acceptance, first), expected != "confirmed");
-    let early = first + GRACE - std::time::Duration::from_micros(1);
+    let early = first + GRACE - Duration::from_micros(1);
     assert_eq!(waiting(&mut acceptance, early), expected != "confirmed");
     assert_eq!(
         waiting(&mut acceptance, first + GRACE),
@@ -96,13 +97,13 @@
         waiting.into_iter().map(|cell| cell.cell).collect()
     };
     assert_eq!(cells(&mut acceptance), ["*", "c"]);
-    acceptance.status(&status(VERSION, &[]));
+    acceptance.status(&status(VERSION, &[]), now);
     assert_eq!(cells(&mut acceptance), ["*", "c"]);
-    acceptance.records(&records(&[("gone", record(1, &["g"]))]));
+    acceptance.records(&records(&[("gone", record(1, &["g"]))]), now);
     assert_eq!(cells(&mut acceptance), ["c", "gone"]);
 
     let mut vacant = Acceptance::open(VERSION, ["c"]);
-    vacant.records(&BTreeMap::new());
+    vacant.records(&BTreeMap::new(), now);
     assert_eq!(cells(&mut vacant), Vec::<String>::new());
 }
 
@@ -110,27 +111,45 @@
 #[test]
 fn a_new_member_list_starts_the_grace_again() {
     let mut acceptance = Acceptance::open(VERSION, ["c"]);
-    acceptance.records(&records(&[("c", record(1, &["a", "b", "x"]))]));
-    acceptance.status(&status(VERSION, &[("b", VERSION)]));
     let first = Moment::from_millis(100);
+    acceptance.records(&records(&[("c", record(1, &["a", "b", "x"]))]), first);
+    acceptance.status(&status(VERSION, &[("b", VERSION)]), first);
     assert_eq!(acceptance.unconfirmed(first).len(), 1);
+    let second = first + GRACE;
     let mut newer = status(VERSION, &[]);
-    newer.record = Some(Roster {
-        revision: 2,
-        members: ["a", "b", "y"]
-            .map(|name| Name {
-                name: name.to_owned(),
-            })
-            .into(),
-    });
-    acceptance.status(&newer);
+    newer.record = Some(Roster::from(&record(2, &["a", "b", "y"])));
+    acceptance.status(&newer, second);
     // An older list that arrives late changes nothing.
-    acceptance.records(&records(&[("c", record(1, &["a", "b"]))]));
-    let second = first + GRACE;
+    acceptance.records(&records(&[("c", record(1, &["a", "b"]))]), second);
     assert_eq!(acceptance.unconfirmed(second)[0].members, ["y"]);
     assert_eq!(acceptance.unconfirmed(second + GRACE), vec![]);
 }
 
+/// Guards against acceptance while a node that was just removed may still use its permit.
+#[rstest]
+#[case::unknown(None, 1_700)]
+#[case::young(Some(1_000), 700)]
+#[case::old(Some(1_700), 0)]
+fn a_member_list_counts_once_it_is_old_enough(#[case] age_ms: Option<u64>, #[case] wait_ms: u64) {
+    let mut acceptance = Acceptance::open(VERSION, ["c"]);
+    let first = Moment::from_millis(9_000);
+    acceptance.records(
+        &records(&[("c", record(1, &["a", "b", "x"]))]),
+        first - GRACE * 2,
+    );
+    let mut report = status(VERSION, &[("b", VERSION)]);
+    let roster = Roster::from(&record(2, &["a", "b"]));
+    report.record = Some(Roster { age_ms, ..roster });
+    acceptance.status(&report, first);
+    let end = first + Duration::from_millis(wait_ms);
+    assert_eq!(acceptance.unconfirmed(end), vec![]);
+    let just_before = acceptance.unconfirmed(end - Duration::from_millis(1));
+    assert!(!just_before.is_empty());
+    // A change of the ballot alone leaves the list and its age.
+    acceptance.records(&records(&[("c", record(3, &["a", "b"]))]), end);
+    assert_eq!(acceptance.unconfirmed(end), vec![]);
+}
+
 #[test]
 fn the_status_of_the_design_page_is_read() {
     let text = r#"{"node": "dc1-0-a", "data_centre": "dc1", "cell": "dc1-0", "incarnation": 17,
--- a/tests/command.rs
+++ b/tests/command.rs
@@ -236,6 +236,9 @@
         json!({
             "node": format!("{cell}-a"), "data_centre": "dc1", "cell": cell, "incarnation": 1,
             "settings_version": version, "permit": true,
+            "record": {"revision": 1, "age_ms": 5000, "members": [
+                {"name": format!("{cell}-a")}, {"name": format!("{cell}-b")},
+            ]},
             "seen": [{"name": format!("{cell}-b"), "settings": seen, "cell": 1, "age_ms": 5}],
         })
     };
