--- a/src/process/control.rs
+++ b/src/process/control.rs
@@ -765,6 +765,10 @@
 
     fn status(&self, now: Moment) -> Status {
         let seen = self.cell.seen(now).into_iter();
+        let lists = self.cell.owned_basis().lists;
+        let list_age = lists.last().map_or(0, |list| {
+            u64::try_from(now.since(list.since).as_millis()).unwrap_or(u64::MAX)
+        });
         Status {
             node: self.config.me.name.clone(),
             data_centre: self.config.data_centre.clone(),
@@ -772,7 +776,10 @@
             incarnation: self.config.me.incarnation.0,
             settings_version: self.replica.version(),
             permit: self.cell.permit_until(now) > now,
-            record: self.cell.record().map(Roster::from),
+            record: self.cell.record().map(|record| Roster {
+                age_ms: Some(list_age),
+                ..Roster::from(record)
+            }),
             seen: seen
                 .map(|seen| Sighting {
                     name: seen.name,
