--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -137,6 +137,25 @@
     assert!(matches!(replica.deltas(300), Deltas::Entries(entries) if entries.is_empty()));
 }
 
+/// Guards against replicas that cannot pass a change without edits, such as a repair of the log.
+#[test]
+fn a_change_without_edits_is_read_as_a_snapshot() {
+    let mut log = Log::open(2);
+    let mut replica = Replica::open();
+    log.bring(&mut replica, 2, at(1));
+    let origin = Origin {
+        operation: "repair".to_owned(),
+        author: "tester".to_owned(),
+        written_ms: 0,
+    };
+    let tree = log.trees[1].clone();
+    log.changes.push(Change::prepare(2, 1, None, &tree, origin));
+    log.trees.push(tree);
+    log.write(4);
+    log.bring(&mut replica, 4, at(10));
+    assert_eq!(**replica.tree(), log.trees[4]);
+}
+
 /// Guards against unbounded memory for peers that are far behind.
 #[test]
 fn only_the_last_entries_are_kept() {
