--- a/src/connection/peer.rs
+++ b/src/connection/peer.rs
@@ -293,6 +293,7 @@
         .initial_stream_window_size(STREAM_WINDOW)
         .initial_connection_window_size(CONNECTION_WINDOW)
         .max_send_buf_size(SEND_BUFFER)
+        .max_concurrent_reset_streams(STREAMS_MAX as usize)
         .keep_alive_interval(PING)
         .keep_alive_timeout(PING)
         .handshake(TokioIo::new(stream))
@@ -479,6 +480,9 @@
         .initial_stream_window_size(STREAM_WINDOW)
         .initial_connection_window_size(CONNECTION_WINDOW)
         .max_send_buf_size(SEND_BUFFER)
+        // Cancelled batches are normal between nodes, so many resets are no sign of an attack.
+        .max_pending_accept_reset_streams(STREAMS_MAX as usize)
+        .max_local_error_reset_streams(None)
         .keep_alive_interval(PING * 10)
         .keep_alive_timeout(PING * 10)
         .serve_connection(TokioIo::new(stream), service);
@@ -518,6 +522,7 @@
     Response::new(Answer::Stream {
         frames,
         missing,
+        yielded: false,
         _running: running,
     })
 }
@@ -547,6 +552,8 @@
     Stream {
         frames: mpsc::UnboundedReceiver<Frame>,
         missing: usize,
+        /// Whether the task has let others run since the last write.
+        yielded: bool,
         _running: R,
     },
 }
@@ -566,8 +573,18 @@
             Self::Whole(body) => body.take(),
             Self::Stream { missing: 0, .. } => None,
             Self::Stream {
-                frames, missing, ..
+                frames,
+                missing,
+                yielded,
+                ..
             } => {
+                // Connections to targets that are ready now may add frames to the same write.
+                if !*yielded && !frames.is_empty() && frames.len() < *missing {
+                    *yielded = true;
+                    cx.waker().wake_by_ref();
+                    return Poll::Pending;
+                }
+                *yielded = false;
                 let mut batch = Vec::new();
                 let count = ready!(frames.poll_recv_many(cx, &mut batch, FRAMES_PER_WRITE));
                 *missing = if count == 0 {
--- a/src/process/cell.rs
+++ b/src/process/cell.rs
@@ -38,6 +38,9 @@
 pub const BALLOT_LIMIT: Duration = Duration::from_secs(3);
 /// Ranks by name wait multiples of this time before they do what an earlier rank should have done.
 pub const RANK_STEP: Duration = Duration::from_millis(200);
+/// A node joins this long after the last change of the record at the earliest. It bounds the writes
+/// of a data centre that restarts as a whole: at most three joins a second in each of its cells.
+pub const JOIN_PAUSE: Duration = Duration::from_millis(200);
 /// Joining nodes spread their first swap over this many slots of [`JOIN_SLOT`].
 pub const JOIN_SLOTS: u64 = 8;
 /// Width of one slot; it exceeds a store round trip, so that later slots see the swap of earlier ones.
@@ -388,6 +391,7 @@
         [
             Some(self.next_exchange),
             Some(self.next_read),
+            Some(self.proof_learned + PROOF_WAIT),
             self.reading.map(|started| started + CALL_LIMIT),
             self.swap.as_ref().map(|swap| swap.started + CALL_LIMIT),
             self.proposal(now).map(|(due, _)| due),
@@ -513,32 +517,38 @@
         }
     }
 
-    /// Applies a function to every moment of the state, so that tests can compare states of different times.
+    /// Applies a function to every moment of the state, so that tests can compare states of different
+    /// times; the function also takes the age from which on the moment has no further effect.
     pub fn map_moments<Map>(&mut self, mut map: Map)
     where
-        Map: FnMut(Moment) -> Moment,
+        Map: FnMut(Moment, Duration) -> Moment,
     {
-        for moment in [
-            &mut self.record_since,
-            &mut self.newest_proof,
-            &mut self.proof_learned,
-            &mut self.next_read,
-            &mut self.next_swap,
-            &mut self.next_exchange,
-        ]
-        .into_iter()
-        .chain(self.lists.iter_mut().map(|list| &mut list.since))
-        .chain(self.proofs.iter_mut().map(|(_, started)| started))
-        .chain(self.reading.iter_mut())
-        .chain(self.swap.iter_mut().map(|swap| &mut swap.started))
-        {
-            *moment = map(*moment);
+        let ballot = BALLOT_LIMIT + RANK_STEP * MEMBERS_MAX as u32;
+        for (moment, age) in [
+            (&mut self.record_since, ballot),
+            (&mut self.newest_proof, 2 * PERMIT),
+            (&mut self.proof_learned, PROOF_WAIT),
+            (&mut self.next_read, Duration::ZERO),
+            (&mut self.next_swap, Duration::ZERO),
+            (&mut self.next_exchange, Duration::ZERO),
+        ] {
+            *moment = map(*moment, age);
+        }
+        for list in &mut self.lists {
+            list.since = map(list.since, GRACE);
+        }
+        for (_, started) in &mut self.proofs {
+            *started = map(*started, PERMIT);
+        }
+        let swap = self.swap.iter_mut().map(|swap| &mut swap.started);
+        for started in self.reading.iter_mut().chain(swap) {
+            *started = map(*started, CALL_LIMIT);
         }
         for peer in self.peers.values_mut() {
-            peer.heard = map(peer.heard);
-            peer.seen_at = map(peer.seen_at);
+            peer.heard = map(peer.heard, SUSPECT);
+            peer.seen_at = map(peer.seen_at, SUSPECT);
             for (_, sent) in &mut peer.supports {
-                *sent = map(*sent);
+                *sent = map(*sent, PERMIT);
             }
         }
     }
@@ -825,14 +835,16 @@
         self.next_exchange = now;
     }
 
-    /// Returns the other nodes of the record, current and proposed.
+    /// Returns the other nodes of the record, current and proposed, and of lists that were replaced
+    /// lately: a removed node that answers has released its targets.
     fn contacts(&self) -> Vec<Member> {
         let Some(record) = &self.record else {
             return Vec::new();
         };
+        let former = self.lists.iter().flat_map(|list| &list.members);
         let proposed = record.ballot.iter().flat_map(|ballot| &ballot.members);
         let mut contacts: BTreeMap<&str, &Member> = BTreeMap::new();
-        for member in record.members.iter().chain(proposed) {
+        for member in former.chain(&record.members).chain(proposed) {
             if member.name != self.config.me.name {
                 contacts.insert(&member.name, member);
             }
@@ -884,9 +896,6 @@
         if now >= self.next_read && self.wants_read(now) {
             self.read(now, &mut actions);
         }
-        if self.next_read <= now {
-            self.next_read = now + self.read_period(now);
-        }
         actions
     }
 
@@ -1006,7 +1015,7 @@
                 known.incarnation < me.incarnation && known.peer == me.peer
             });
             return may_join.then(|| {
-                let due = (self.record_since + spread).max(self.next_swap);
+                let due = (self.record_since + JOIN_PAUSE + spread).max(self.next_swap);
                 (due, next(&record.members, Some(with(&record.members, me))))
             });
         }
--- a/src/process/gateway.rs
+++ b/src/process/gateway.rs
@@ -39,6 +39,9 @@
 /// may lag and still say that it takes work.
 pub const DRAINING_HOLD: Duration = Duration::from_secs(10);
 
+/// The period in which a target that accepts no connections is tried again.
+pub const RECONNECT_PERIOD: Duration = Duration::from_millis(200);
+
 /// The time for which a version that a target refused as not held counts as gone, whatever its
 /// possibly stale status says.
 pub const GONE_HOLD: Duration = Duration::from_secs(3);
@@ -82,6 +85,8 @@
     /// Work may be dispatched before this moment, in microseconds of the clock.
     permit_until: AtomicU64,
     owned: ArcSwap<HashMap<String, Entry>>,
+    /// Held while the set of owned targets changes.
+    owning: tokio::sync::Mutex<()>,
     /// Actors of targets that were given up while work still ran.
     closing: Mutex<HashMap<(String, SocketAddr), ActorRef<Message>>>,
     board: Mutex<Board>,
@@ -115,12 +120,8 @@
             return;
         }
         for actor in &self.actors {
-            let cancel = Message::Cancel {
-                request: self.header.request.clone(),
-                leg: None,
-            };
             // An actor that has ended has no job left to cancel.
-            let _ended = actor.cast(cancel);
+            let _ended = actor.cast(Message::CancelBatch(Arc::clone(&self.header)));
         }
     }
 }
@@ -146,6 +147,7 @@
                 metrics,
                 permit_until: AtomicU64::new(0),
                 owned: ArcSwap::default(),
+                owning: tokio::sync::Mutex::default(),
                 closing: Mutex::default(),
                 board: Mutex::default(),
             }),
@@ -217,17 +219,18 @@
         };
         if let Ok(request) = HeaderValue::try_from(request) {
             // An actor that has ended has no job left to cancel.
-            let _ended = entry.actor.cast(Message::Cancel {
-                request,
-                leg: Some(leg),
-            });
+            let _ended = entry.actor.cast(Message::Cancel { request, leg });
         }
     }
 
     /// Takes over `targets` and gives up all others.
     ///
+    /// A changed `valid_from` means that another node owned the target in between, so the target
+    /// counts as cold; it must stay the same while the ownership continues.
+    ///
     /// Work that runs at a target that is given up finishes; what is queued is refused.
     pub async fn own(&self, targets: Vec<Owned>) -> anyhow::Result<()> {
+        let _alone = self.common.owning.lock().await;
         let before = self.common.owned.load_full();
         let mut after = HashMap::with_capacity(targets.len());
         for owned in targets {
@@ -306,8 +309,16 @@
         Moment::from_micros(self.permit_until.load(Ordering::Acquire))
     }
 
-    fn may_dispatch(&self) -> bool {
-        self.clock.now() < self.permit_until()
+    /// Tells why a search must not be written now, if there is a reason.
+    fn check(&self, deadline: Moment) -> Result<(), Reason> {
+        let now = self.clock.now();
+        if now >= self.permit_until() {
+            Err(Reason::NoPermit)
+        } else if now >= deadline {
+            Err(Reason::Expired)
+        } else {
+            Ok(())
+        }
     }
 
     /// Lets the actor of a target that is given up finish its work and end.
@@ -354,10 +365,24 @@
     shard: u32,
     /// Taken when the leg gets its result.
     reply: Option<mpsc::UnboundedSender<Frame>>,
+    /// Whether the search was given to a connection.
+    dispatched: bool,
     /// Whether the search was given back unsent by a kept connection before.
     resent: bool,
 }
 
+impl Drop for Work {
+    /// Gives the leg its frame if its actor ended before the leg had a result.
+    fn drop(&mut self) {
+        let reason = if self.dispatched {
+            Reason::ConnectionLost
+        } else {
+            Reason::NotOwner
+        };
+        self.send(Outcome::Failure(reason), Load::default());
+    }
+}
+
 impl Work {
     fn new(leg: &Leg, header: Arc<Header>, reply: mpsc::UnboundedSender<Frame>) -> Self {
         Self {
@@ -367,17 +392,23 @@
             version: leg.version,
             shard: leg.shard,
             reply: Some(reply),
+            dispatched: false,
             resent: false,
         }
     }
 
     fn answer(&mut self, outcome: Outcome, load: Load, metrics: &Metrics) {
+        if let (Outcome::Failure(reason), Some(_)) = (&outcome, &self.reply) {
+            metrics.leg_failure(*reason);
+        }
+        self.send(outcome, load);
+    }
+
+    /// Sends the frame of the leg, unless it was sent before.
+    fn send(&mut self, outcome: Outcome, load: Load) {
         let Some(reply) = self.reply.take() else {
             return;
         };
-        if let Outcome::Failure(reason) = outcome {
-            metrics.leg_failure(reason);
-        }
         self.header.missing.fetch_sub(1, Ordering::Release);
         // A coordinator that no longer listens has no use for the result.
         let _unheard = reply.send(Frame {
@@ -397,7 +428,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Purpose {
     Search(JobKey),
-    Cancel(JobKey),
+    Cancel,
     Status,
 }
 
@@ -405,15 +436,19 @@
 #[derive(Debug)]
 enum Message {
     Offer(Work),
+    /// Cancels one leg of a request.
     Cancel {
         request: HeaderValue,
-        leg: Option<u32>,
+        leg: u32,
     },
+    /// Cancels all legs of a batch.
+    CancelBatch(Arc<Header>),
     Link(LinkKey, Signal<Purpose>),
     Own(Owned),
     Disown,
     Tick,
     Poll,
+    Retry,
 }
 
 /// The actor of one target.
@@ -433,12 +468,8 @@
     connection: Connection<Purpose>,
     /// What the connection is doing.
     purpose: Option<Purpose>,
-    /// Whether the connection was kept from an earlier call.
-    kept: bool,
-    /// Whether the connection was established.
+    /// Whether the connection is known to have been established.
     opened: bool,
-    /// Whether the last sweep found that nobody waits for the connection's search any longer.
-    orphan: bool,
 }
 
 /// The state of an actor.
@@ -463,10 +494,10 @@
     draining: Option<(Moment, Option<u64>)>,
     /// Whether the target was reached since the last failure to reach it.
     reachable: bool,
+    /// Whether an attempt to reach the target again is scheduled.
+    retrying: bool,
     last_search: Moment,
-    last_answer: Moment,
     last_preopen: Moment,
-    status_sent: Moment,
     disowned: bool,
     published: Option<(u64, Class)>,
 }
@@ -514,10 +545,9 @@
             gone: Vec::new(),
             draining: None,
             reachable: false,
+            retrying: false,
             last_search: Moment::ZERO,
-            last_answer: Moment::ZERO,
             last_preopen: Moment::ZERO,
-            status_sent: Moment::ZERO,
             disowned: false,
             published: None,
         };
@@ -538,7 +568,14 @@
         let now = state.common.clock.now();
         match message {
             Message::Offer(work) => state.offer(work, now),
-            Message::Cancel { request, leg } => state.cancel(&request, leg, now),
+            Message::Cancel { request, leg } => {
+                state.cancel(now, |work| {
+                    work.header.request == request && work.leg == leg
+                });
+            }
+            Message::CancelBatch(header) => {
+                state.cancel(now, |work| Arc::ptr_eq(&work.header, &header));
+            }
             Message::Link(key, signal) => state.signal(key, signal, now),
             Message::Own(owned) => state.own(owned, now),
             Message::Disown => {
@@ -549,10 +586,14 @@
                 state.alarm_at = Moment::NEVER;
                 state.step(Event::Tick, now);
             }
-            Message::Poll => state.poll(now),
+            Message::Poll => state.poll(),
+            Message::Retry => {
+                state.retrying = false;
+                state.poll();
+            }
         }
-        state.arm();
-        state.publish();
+        state.arm(now);
+        state.publish(now);
         if state.disowned && state.gate.is_idle() && state.common.release(&state.owned) {
             state.myself.stop(None);
         }
@@ -626,10 +667,11 @@
         self.step(Event::Offer(job), now);
     }
 
-    fn cancel(&mut self, request: &HeaderValue, leg: Option<u32>, now: Moment) {
-        let matching = self.jobs.iter().filter(|(_, work)| {
-            work.header.request == *request && leg.is_none_or(|leg| leg == work.leg)
-        });
+    fn cancel<F>(&mut self, now: Moment, matches: F)
+    where
+        F: Fn(&Work) -> bool,
+    {
+        let matching = self.jobs.iter().filter(|(_, work)| matches(work));
         let matching: SmallVec<[JobKey; 4]> = matching.map(|(key, _)| key).collect();
         for key in matching {
             self.step(Event::Cancel(key), now);
@@ -637,15 +679,18 @@
     }
 
     fn dispatch(&mut self, key: JobKey, now: Moment) {
-        let Some(work) = self.jobs.get(key) else {
+        let Some(work) = self.jobs.get_mut(key) else {
             return;
         };
+        work.dispatched = true;
         let search = Ask::Search(Search {
             request: work.header.request.clone(),
             attempt: work.attempt,
             version: work.version,
             shard: work.shard,
+            idempotent: work.header.idempotent,
             remaining: now.until(work.header.deadline),
+            deadline: work.header.deadline,
             body: work.header.body.clone(),
         });
         self.last_search = now;
@@ -666,7 +711,6 @@
             match link.connection.call(purpose, ask) {
                 Ok(()) => {
                     link.purpose = Some(purpose);
-                    link.kept = true;
                     return Ok(());
                 }
                 // The signal that this connection has ended is on its way.
@@ -693,57 +737,52 @@
             connection: Connection::open(
                 target,
                 first,
-                move || common.may_dispatch(),
+                move |deadline| common.check(deadline),
                 move |signal| {
                     // The actor ends before its connections only when nothing runs.
                     let _ended = myself.cast(Message::Link(key, signal));
                 },
             ),
             purpose,
-            kept: false,
             opened: false,
-            orphan: false,
         });
     }
 
     fn signal(&mut self, key: LinkKey, signal: Signal<Purpose>, now: Moment) {
         match signal {
-            Signal::Ready => {
-                self.reachable = true;
+            Signal::Opened => {
+                self.reached(now);
                 if let Some(link) = self.links.get_mut(key) {
                     link.opened = true;
-                    self.idle.push(key);
+                    if link.purpose.is_none() {
+                        self.idle.push(key);
+                    }
                 }
             }
             Signal::Done(purpose, reply) => {
-                self.reachable = true;
-                self.last_answer = now;
                 if let Some(link) = self.links.get_mut(key) {
                     link.purpose = None;
-                    link.opened = true;
                     self.idle.push(key);
                 }
                 self.replied(purpose, reply, now);
             }
             Signal::Closed(call) => {
-                let link = self.links.remove(key);
+                let opened = self.links.remove(key).is_some_and(|link| link.opened);
                 self.idle.retain(|idle| *idle != key);
-                let Some((purpose, reply)) = call else {
-                    // The target closed an idle connection, or could not be reached.
-                    self.reachable &= link.is_none_or(|link| link.opened);
-                    if self.links.is_empty() {
-                        self.step(Event::Suspect, now);
-                    }
-                    return;
-                };
-                let kept = link.is_some_and(|link| link.kept);
-                if kept && self.resend(purpose, &reply, now) {
-                    return;
+                let unanswered = call.as_ref().is_none_or(|(_, reply)| {
+                    matches!(reply.said, Said::Failed | Said::Refused(Reason::NotSent))
+                });
+                if unanswered && opened {
+                    // A target that ends connections may have been restarted.
+                    self.step(Event::Suspect, now);
+                } else if unanswered {
+                    self.unreached(now);
                 }
-                if matches!(reply.said, Said::Refused(Reason::NotSent)) {
-                    self.reachable = false;
+                if let Some((purpose, reply)) = call
+                    && !(opened && self.resend(purpose, &reply, now))
+                {
+                    self.replied(purpose, reply, now);
                 }
-                self.replied(purpose, reply, now);
             }
         }
         self.preopen(now);
@@ -772,16 +811,14 @@
     fn replied(&mut self, purpose: Purpose, reply: Reply, now: Moment) {
         match purpose {
             Purpose::Search(key) => self.finish(key, reply.said, reply.generation, now),
-            Purpose::Cancel(key) => {
-                if matches!(reply.said, Said::Cancelled) {
-                    self.finish(key, Said::Cancelled, None, now);
+            // The search itself is answered when it has ended; only that frees its slot.
+            Purpose::Cancel => {}
+            Purpose::Status => {
+                // A failed status call says nothing beyond the end of its connection.
+                if let Said::Status(status) = reply.said {
+                    self.take_status(status, now);
                 }
             }
-            Purpose::Status => match reply.said {
-                Said::Status(status) => self.take_status(status, now),
-                // A search that was answered since then outweighs a failed status call.
-                _ => self.reachable &= self.last_answer > self.status_sent,
-            },
         }
     }
 
@@ -807,10 +844,9 @@
                 (Outcome::Failure(reason), Completion::Refused(reason))
             }
             Said::Lost(reason) => (Outcome::Failure(reason), Completion::Lost(reason)),
-            Said::Cancelled | Said::Status(_) | Said::Failed => (
-                Outcome::Failure(Reason::Timeout),
-                Completion::Refused(Reason::Cancelled),
-            ),
+            Said::Cancelled | Said::Status(_) | Said::Failed => {
+                unreachable!("a search gets the answer to a search")
+            }
         };
         self.step(Event::Finished { key, result }, now);
         self.answer(work, outcome);
@@ -835,8 +871,15 @@
             request: work.header.request.clone(),
             attempt: work.attempt,
         };
+        let busy = Some(Purpose::Search(key));
+        let mut links = self.links.iter();
+        if let Some((unopened, _)) = links.find(|(_, link)| link.purpose == busy && !link.opened) {
+            // Without the connection that is still being opened, the search is not sent late.
+            self.links.remove(unopened);
+            return;
+        }
         // Without a free connection, the hold of the slot ends by time.
-        let _busy = self.call(Purpose::Cancel(key), cancel);
+        let _busy = self.call(Purpose::Cancel, cancel);
     }
 
     fn own(&mut self, owned: Owned, now: Moment) {
@@ -857,19 +900,8 @@
         self.published = None;
     }
 
-    /// Asks for the target's status, and drops connections whose search was given up long ago.
-    fn poll(&mut self, now: Moment) {
-        let jobs = &self.jobs;
-        self.links.retain(|_, link| {
-            let given_up = match link.purpose {
-                Some(Purpose::Search(key)) => !jobs.contains_key(key),
-                _ => false,
-            };
-            let drop = given_up && link.orphan;
-            link.orphan = given_up;
-            !drop
-        });
-        self.status_sent = now;
+    /// Asks for the target's status.
+    fn poll(&mut self) {
         let polling = self
             .links
             .values()
@@ -881,8 +913,14 @@
     }
 
     fn take_status(&mut self, status: Status, now: Moment) {
-        self.reachable = true;
-        self.step(Event::Generation(status.generation), now);
+        let ramp = self.gate.ramp();
+        let known = ramp.generation();
+        if known.is_none() {
+            self.step(Event::Generation(status.generation), now);
+        } else if (status.cold || known != Some(status.generation)) && ramp.stage() != Stage::Cold {
+            // The status may be stale or wrong, so searches decide whether the target turned cold.
+            self.step(Event::Suspect, now);
+        }
         self.gone
             .retain(|(_, refused)| now.since(*refused) < GONE_HOLD);
         self.holdings = status.holdings;
@@ -927,6 +965,26 @@
         }
     }
 
+    /// Notes that the target accepts connections.
+    fn reached(&mut self, now: Moment) {
+        self.reachable = true;
+        if self.gate.closed() == Some(Reason::NotSent) {
+            self.step(Event::Reopen(self.owned.valid_from), now);
+        }
+    }
+
+    /// Refuses work at once while the target accepts no connections, so that replicas are tried.
+    fn unreached(&mut self, now: Moment) {
+        self.reachable = false;
+        if self.gate.closed().is_none() {
+            self.step(Event::Close(Reason::NotSent), now);
+        }
+        if !self.retrying && !self.disowned {
+            self.retrying = true;
+            self.myself.send_after(RECONNECT_PERIOD, || Message::Retry);
+        }
+    }
+
     /// Opens connections before they are needed, as many as may run at once.
     fn preopen(&mut self, now: Moment) {
         let busy = now.since(self.last_search) < PREOPEN_WINDOW;
@@ -940,8 +998,10 @@
         }
     }
 
-    fn arm(&mut self) {
-        let Some(wake) = self.gate.wake() else {
+    fn arm(&mut self, now: Moment) {
+        // The target becomes usable when the ownership becomes valid.
+        let valid = (now < self.owned.valid_from).then_some(self.owned.valid_from);
+        let Some(wake) = self.gate.wake().into_iter().chain(valid).min() else {
             return;
         };
         // The alarm is only ever moved forward; a tick that comes early does no harm.
@@ -952,12 +1012,13 @@
         }
     }
 
-    fn publish(&mut self) {
+    fn publish(&mut self, now: Moment) {
         if self.disowned {
             return;
         }
         let load = self.gate.load();
-        let usable = self.reachable && self.gate.closed().is_none();
+        let valid = now >= self.owned.valid_from;
+        let usable = valid && self.reachable && self.gate.closed().is_none();
         let class = Class {
             usable,
             limit: load.limit,
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,9 +1,11 @@
 //! What lives as long as the process: its configuration, its counters, and the state it owns.
 
+pub mod address;
 pub mod cell;
 pub mod config;
 pub mod control;
 pub mod coordinator;
+pub mod drain;
 pub mod gate;
 pub mod gateway;
 pub mod ledger;
