--- a/src/connection/peer.rs
+++ b/src/connection/peer.rs
@@ -150,7 +150,7 @@
         Res: DeserializeOwned,
     {
         let until = Instant::now() + timeout;
-        let body = self.send(address, path, message, until).await?;
+        let body = self.send(address, path, message, until).await?.await?;
         let body = tokio::time::timeout_at(until, Limited::new(body, BODY_MAX).collect())
             .await
             .map_err(|_elapsed| Error::Timeout)?
@@ -163,6 +163,8 @@
     }
 
     /// Sends a batch and returns the stream of its results; dropping the stream cancels the batch.
+    ///
+    /// Waits only for a connection; the first result, or the failure of the batch, comes by the stream.
     pub async fn scatter(
         &self,
         address: SocketAddr,
@@ -170,21 +172,22 @@
         timeout: Duration,
     ) -> Result<Frames, Error> {
         let until = Instant::now() + timeout;
-        let body = self.send(address, SCATTER_PATH, batch, until).await?;
+        let answer = self.send(address, SCATTER_PATH, batch, until).await?;
         Ok(Frames {
-            body,
+            source: Source::Answer(Box::pin(answer)),
             buffer: Bytes::new(),
             until,
         })
     }
 
+    /// Hands a message to the connection; the future waits for the head of the answer.
     async fn send<Req>(
         &self,
         address: SocketAddr,
         path: &str,
         message: &Req,
         until: Instant,
-    ) -> Result<Incoming, Error>
+    ) -> Result<impl Future<Output = Result<Incoming, Error>> + Send + 'static + use<Req>, Error>
     where
         Req: Serialize + Sync + ?Sized,
     {
@@ -197,20 +200,23 @@
         let mut sender = tokio::time::timeout_at(until, self.link(address).sender())
             .await
             .map_err(|_elapsed| Error::NotSent("no connection in time"))??;
-        let response = tokio::time::timeout_at(until, sender.try_send_request(request))
-            .await
-            .map_err(|_elapsed| Error::Timeout)?
-            .map_err(|mut error| {
-                if error.take_message().is_some() {
-                    Error::NotSent("the connection ended before the request was written")
-                } else {
-                    Error::Lost(Some(error.into_error()))
-                }
-            })?;
-        if response.status() != StatusCode::OK {
-            return Err(Error::Status(response.status()));
-        }
-        Ok(response.into_body())
+        let answer = sender.try_send_request(request);
+        Ok(async move {
+            let response = tokio::time::timeout_at(until, answer)
+                .await
+                .map_err(|_elapsed| Error::Timeout)?
+                .map_err(|mut error| {
+                    if error.take_message().is_some() {
+                        Error::NotSent("the connection ended before the request was written")
+                    } else {
+                        Error::Lost(Some(error.into_error()))
+                    }
+                })?;
+            if response.status() != StatusCode::OK {
+                return Err(Error::Status(response.status()));
+            }
+            Ok(response.into_body())
+        })
     }
 
     fn link(&self, address: SocketAddr) -> Arc<Link> {
@@ -304,13 +310,30 @@
 }
 
 /// The stream of the results of one batch; dropping it cancels what has no result yet.
-#[derive(Debug)]
 pub struct Frames {
-    body: Incoming,
+    source: Source,
     buffer: Bytes,
     until: Instant,
 }
 
+/// Where the results come from.
+enum Source {
+    /// The answer has not begun.
+    Answer(Pin<Box<dyn Future<Output = Result<Incoming, Error>> + Send>>),
+    /// The answer has begun.
+    Body(Incoming),
+    /// The batch failed before its answer began.
+    Failed,
+}
+
+impl std::fmt::Debug for Frames {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Frames")
+            .field("until", &self.until)
+            .finish_non_exhaustive()
+    }
+}
+
 impl Frames {
     /// Waits for the next result; `None` means that the peer sends no more.
     ///
@@ -322,7 +345,21 @@
                 Ok(None) => {}
                 Err(error) => return Some(Err(error)),
             }
-            let Ok(chunk) = tokio::time::timeout_at(self.until, self.body.frame()).await else {
+            let body = match &mut self.source {
+                Source::Body(body) => body,
+                Source::Failed => return None,
+                Source::Answer(answer) => {
+                    match answer.await {
+                        Ok(body) => self.source = Source::Body(body),
+                        Err(error) => {
+                            self.source = Source::Failed;
+                            return Some(Err(error));
+                        }
+                    }
+                    continue;
+                }
+            };
+            let Ok(chunk) = tokio::time::timeout_at(self.until, body.frame()).await else {
                 return Some(Err(Error::Timeout));
             };
             match chunk {
@@ -517,10 +554,14 @@
         return refuse(StatusCode::BAD_REQUEST);
     };
     let missing = batch.legs.len();
-    let (sender, frames) = mpsc::unbounded_channel();
+    let (sender, mut frames) = mpsc::unbounded_channel();
     let running = service.scatter(batch, sender);
+    // With the first frame at hand, the head of the answer and the frame go into one write.
+    let mut ready = Vec::new();
+    frames.recv_many(&mut ready, FRAMES_PER_WRITE).await;
     Response::new(Answer::Stream {
         frames,
+        ready,
         missing,
         yielded: false,
         _running: running,
@@ -551,6 +592,9 @@
     /// The results of a batch as they come.
     Stream {
         frames: mpsc::UnboundedReceiver<Frame>,
+        /// Frames that were received and are not written yet.
+        ready: Vec<Frame>,
+        /// Frames that are not written yet, received or not.
         missing: usize,
         /// Whether the task has let others run since the last write.
         yielded: bool,
@@ -574,29 +618,34 @@
             Self::Stream { missing: 0, .. } => None,
             Self::Stream {
                 frames,
+                ready,
                 missing,
                 yielded,
                 ..
             } => {
+                let received = if frames.is_empty() && !ready.is_empty() {
+                    0
+                } else {
+                    ready!(frames.poll_recv_many(cx, ready, FRAMES_PER_WRITE))
+                };
                 // Connections to targets that are ready now may add frames to the same write.
-                if !*yielded && !frames.is_empty() && frames.len() < *missing {
+                if !*yielded && !ready.is_empty() && ready.len() < *missing {
                     *yielded = true;
                     cx.waker().wake_by_ref();
                     return Poll::Pending;
                 }
                 *yielded = false;
-                let mut batch = Vec::new();
-                let count = ready!(frames.poll_recv_many(cx, &mut batch, FRAMES_PER_WRITE));
-                *missing = if count == 0 {
+                *missing = if received == 0 && ready.is_empty() {
+                    // The service dropped the other end, so no further frame comes.
                     0
                 } else {
-                    missing.saturating_sub(count)
+                    missing.saturating_sub(ready.len())
                 };
-                let mut buffer = BytesMut::with_capacity(batch.iter().map(size).sum());
-                for frame in &batch {
-                    encode(frame, &mut buffer);
+                let mut buffer = BytesMut::with_capacity(ready.iter().map(size).sum());
+                for frame in ready.drain(..) {
+                    encode(&frame, &mut buffer);
                 }
-                (count > 0).then(|| buffer.freeze())
+                (!buffer.is_empty()).then(|| buffer.freeze())
             }
         };
         Poll::Ready(data.map(|data| Ok(hyper::body::Frame::data(data))))
