Spread legs over replicas whose loads were reported a while ago

Cause: between two exchanges all coordinators of a data centre sent to the one replica with the slightly smaller reported wait, whose queue then overflowed while the other drained. In the model, callers of a data centre that is out also moved to one node, which is corrected. Change: the order by least wait draws between replicas of one class and data centre, three to one in favour of one with a free slot; a full replica keeps one leg in eight. Callers try a random other address.

--- a/bench/src/world.rs
+++ b/bench/src/world.rs
@@ -586,7 +586,8 @@
             if self.nodes[node].died.is_some() {
                 penalty += 2 * self.caller_hop();
             }
-            node = (node + 1) % NODES;
+            // Lists spread callers; the next address in order would get all callers of a data centre.
+            node = random.random_range(0..NODES);
         }
         (node, penalty)
     }
--- a/src/request/choice.rs
+++ b/src/request/choice.rs
@@ -11,6 +11,11 @@
 /// centre and back at the latencies of today.
 const FULL: u64 = 4;
 
+/// A full replica keeps its rank for one in this number of legs.
+///
+/// Its queue shrinks between two reports, and the others might not bear all of its load.
+const FULL_TURN: u64 = 8;
+
 /// A replica that serves less than this part of what the best one does counts as slow.
 const SLOW: u64 = 4;
 
@@ -68,12 +73,8 @@
             eligible.min_by_key(|&key| {
                 let load = directory.target(key).load;
                 let draw = mix(preference.seed, key);
-                (
-                    Class::of(load, best, sum, draw),
-                    remote(key),
-                    magnitude(wait(load)),
-                    draw,
-                )
+                let class = Class::of(load, best, sum, draw);
+                (class, remote(key), draw >> u32::from(!is_busy(load)))
             })
         }
         Policy::Random => eligible.min_by_key(|&key| (remote(key), mix(preference.seed, key))),
@@ -97,7 +98,7 @@
     /// A slow replica whose turn it is.
     Turn,
     Usual,
-    /// A full replica, or a slow one whose turn it is not.
+    /// Mostly a full replica, or a slow one whose turn it is not.
     Last,
 }
 
@@ -109,7 +110,7 @@
     /// would send it their legs, which would then expire in its queue.
     fn of(load: Load, best: u64, sum: u64, draw: u64) -> Self {
         let rate = rate(load);
-        if is_full(load) {
+        if is_full(load) && !draw.is_multiple_of(FULL_TURN) {
             Self::Last
         } else if rate.saturating_mul(SLOW) >= best {
             Self::Usual
@@ -130,18 +131,13 @@
     u64::from(load.queued) + u64::from(load.running) >= FULL * u64::from(load.limit.max(1))
 }
 
-/// Returns the expected wait in microseconds; a target without a reported limit counts as one slot.
-fn wait(load: Load) -> u64 {
-    let ahead = u64::from(load.queued) + u64::from(load.running);
-    ahead * u64::from(load.latency_us.max(1)) / u64::from(load.limit.max(1))
-}
-
-/// Reduces a wait to its order of magnitude in powers of two.
+/// Tells whether all slots of a target are in use.
 ///
-/// Reported loads are up to one exchange period old. If the slightly smaller one always won, all
-/// coordinators would send to the same replica until the next report.
-const fn magnitude(wait: u64) -> u32 {
-    u64::BITS - wait.leading_zeros()
+/// Of two replicas, a busy one gets a quarter of the legs and not none: reported loads are up to one
+/// exchange period old, which is much longer than a service time. If the less loaded one got all
+/// legs, its queue would fill until the next report, and the replicas would swap roles.
+fn is_busy(load: Load) -> bool {
+    u64::from(load.queued) + u64::from(load.running) >= u64::from(load.limit.max(1))
 }
 
 /// Mixes a seed and a key into a uniformly distributed number (the finaliser of `SplitMix64`).
