Test requests under failures of nodes, store, list and targets

Nothing in the repository judged whole processes under a failure except the demo, which is one long run. The judge now also looks at ids that a caller replaced after "not run", and at more work at a target than its slots.

--- /dev/null
+++ b/harness/src/fixture.rs
@@ -0,0 +1,386 @@
+//! Small installations for tests of faults: few nodes and targets, settings that match them, and
+//! checks that end a test with everything that the journal shows against a promise.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use anyhow::{Context, ensure};
+use redwinggrade::client::{Caller, Query};
+use redwinggrade::request::answer::Addresses;
+use serde_json::{Value as Json, json};
+use standins::http;
+use standins::spec::{Builder, Index};
+use standins::target::Entry;
+use standins::target::spec::Time;
+use tempfile::TempDir;
+
+use crate::fleet::{Config, Fleet};
+use crate::judge::{self, Verdict, judge};
+use crate::load::{Kind, Load, Record};
+
+/// The index of which every query asks all shards.
+pub const SEARCH: Index = Index {
+    name: "search",
+    services: 3,
+    replicas: 2,
+    slots: 2,
+    connections: 25,
+    connect_ms: 1,
+};
+/// The index whose work must run at most once.
+pub const ORDERS: Index = Index {
+    name: "orders",
+    services: 1,
+    replicas: 3,
+    slots: 4,
+    connections: 25,
+    connect_ms: 1,
+};
+/// The targets of the index for work that must run at most once.
+pub const ORDER_TARGETS: [&str; 3] = ["orders-s00-0", "orders-s00-1", "orders-s00-2"];
+
+/// The load of a test: an idempotent kind that asks all shards, and a kind that must run at most once.
+pub const KINDS: [Kind; 2] = [
+    Kind {
+        index: "search",
+        kind: "match",
+        rate: 25.0,
+        deadline: Duration::from_secs(5),
+        idempotent: true,
+        keyed: false,
+    },
+    Kind {
+        index: "orders",
+        kind: "engrave",
+        rate: 15.0,
+        deadline: Duration::from_secs(5),
+        idempotent: false,
+        keyed: true,
+    },
+];
+
+/// Callers that send the load.
+const CALLERS: usize = 6;
+/// Complete answers in a row that count as service without a fault.
+const IN_A_ROW: u32 = 12;
+/// Requests that must end while a fault lasts, so that it meets work in every state.
+const UNDER_FAULT: u64 = 60;
+/// The deadline of a single request of a test, far above the service times.
+const DEADLINE: Duration = Duration::from_secs(5);
+
+/// How large an installation is.
+#[derive(Debug, Clone, Copy)]
+pub struct Layout {
+    /// The data centres; each has one cell.
+    pub data_centres: &'static [&'static str],
+    /// The nodes, spread over the data centres in turn.
+    pub nodes: usize,
+    /// Answers after which a target is warm; 0 for targets that are never cold.
+    pub cold_answers: u64,
+}
+
+impl Layout {
+    /// One cell of three nodes.
+    pub const CELL: Self = Self {
+        data_centres: &["dc1"],
+        nodes: 3,
+        cold_answers: 20,
+    };
+    /// Two data centres with a cell of three nodes each.
+    pub const TWO_CELLS: Self = Self {
+        data_centres: &["dc1", "dc2"],
+        nodes: 6,
+        cold_answers: 20,
+    };
+    /// Three data centres with a cell of three nodes each.
+    pub const THREE_CELLS: Self = Self {
+        data_centres: &["dc1", "dc2", "dc3"],
+        nodes: 9,
+        cold_answers: 20,
+    };
+}
+
+/// A running installation and the load on it.
+#[derive(Debug)]
+pub struct Fixture {
+    /// The processes.
+    pub fleet: Fleet,
+    /// The settings that were applied at the start.
+    pub settings: Json,
+    directory: TempDir,
+    /// Requests that were sent apart from any load.
+    probes: Vec<Record>,
+    probe: u64,
+}
+
+/// What a request came to over one connection, as the bytes on it say.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Reply {
+    /// The status.
+    pub status: u16,
+    /// The body.
+    pub body: Json,
+}
+
+impl Reply {
+    /// Tells whether the reply is an answer.
+    pub fn is_answer(&self) -> bool {
+        self.status == 200
+    }
+
+    /// Tells whether the reply states that nothing ran.
+    pub fn not_run(&self) -> bool {
+        self.body["not_run"] == json!(true)
+    }
+
+    /// Returns the reason of a refusal.
+    pub fn reason(&self) -> &str {
+        self.body["reason"].as_str().unwrap_or_default()
+    }
+}
+
+/// A request that must run at most once, under an id of the test's choice.
+#[derive(Debug, Clone)]
+pub struct Order {
+    /// The request id.
+    pub id: String,
+    /// The body.
+    pub body: String,
+}
+
+impl Order {
+    /// Sends the request to a node and returns what it came to, or nothing if the connection broke.
+    pub async fn send(&self, node: std::net::SocketAddr) -> Option<Reply> {
+        let deadline = DEADLINE.as_millis().to_string();
+        let headers = [
+            ("Content-Type", "application/json"),
+            ("Deadline-Ms", deadline.as_str()),
+            ("Request-Id", self.id.as_str()),
+            ("Routing-Key", "key"),
+        ];
+        let path = "/v1/query/orders/engrave";
+        let reply = http::call(node, "POST", path, &headers, self.body.clone()).await;
+        let reply = reply.ok()?;
+        Some(Reply {
+            status: reply.status().as_u16(),
+            body: serde_json::from_slice(reply.body()).unwrap_or_default(),
+        })
+    }
+}
+
+fn settings(layout: &Layout) -> Json {
+    let centres: serde_json::Map<String, Json> = layout
+        .data_centres
+        .iter()
+        .map(|name| {
+            let centre = json!({
+                "state": "in",
+                "cells": [format!("{name}-0")],
+                "committed_rate": 5_000,
+            });
+            ((*name).to_owned(), centre)
+        })
+        .collect();
+    json!({
+        "defaults": {
+            "slots": SEARCH.slots,
+            "connections": SEARCH.connections,
+            "connect_ms": SEARCH.connect_ms,
+            "cold_concurrency": 1,
+            "cold_rate": 40,
+            "cold_answers": layout.cold_answers.max(1),
+            "queue": 64,
+            "deadline_ms": 5_000,
+            "least_coverage": 0.3,
+            "straggler_wait_ms": 1_000,
+            "hedge_percent": 5,
+            "limit": 100,
+        },
+        "data_centres": centres,
+        "instances": {},
+        "indexes": {
+            "search": {
+                "kinds": { "match": { "priority": 10 } },
+                "services": { "s00": {}, "s01": {}, "s02": {} },
+            },
+            "orders": {
+                "slots": ORDERS.slots,
+                "least_coverage": 1.0,
+                "kinds": { "engrave": { "priority": 10, "idempotent": false, "scatter": "one" } },
+                "services": { "s00": {} },
+            },
+        },
+    })
+}
+
+impl Fixture {
+    /// Starts an installation and waits until it answers completely.
+    pub async fn start(layout: Layout) -> anyhow::Result<Self> {
+        let directory = tempfile::tempdir()?;
+        let settings = settings(&layout);
+        let file = directory.path().join("settings.yaml");
+        // JSON is a part of YAML.
+        std::fs::write(&file, serde_json::to_vec(&settings)?)?;
+        let time = Time {
+            median_ms: 3.0,
+            ..Time::default()
+        };
+        let spec = Builder::of(vec![SEARCH, ORDERS])
+            .data_centres(layout.data_centres)
+            .time(time)
+            .cold(layout.cold_answers, 1, 60)
+            .build();
+        let fleet = Fleet::start(Config {
+            spec,
+            data_centres: layout.data_centres.iter().map(|it| (*it).into()).collect(),
+            nodes: layout.nodes,
+            settings: file,
+            threads: 2,
+        })
+        .await?;
+        let mut fixture = Self {
+            fleet,
+            settings,
+            directory,
+            probes: Vec::new(),
+            probe: 0,
+        };
+        fixture.wait_complete().await?;
+        Ok(fixture)
+    }
+
+    /// Writes changed settings to a file of their own and returns its path.
+    pub fn write(&self, name: &str, change: impl FnOnce(&mut Json)) -> anyhow::Result<PathBuf> {
+        let mut settings = self.settings.clone();
+        change(&mut settings);
+        let file = self.directory.path().join(name);
+        std::fs::write(&file, serde_json::to_vec(&settings)?)?;
+        Ok(file)
+    }
+
+    /// Starts the load.
+    pub fn load(&self) -> Load {
+        Load::spawn(&KINDS, CALLERS, &self.fleet.callers(), 1)
+    }
+
+    /// Waits until so many more requests of the load have ended that a fault meets work in every
+    /// state.
+    pub async fn meet(&self, load: &Load) -> anyhow::Result<()> {
+        let ended = load.ended() + UNDER_FAULT;
+        self.fleet
+            .wait("requests under the fault", async || load.ended() >= ended)
+            .await
+    }
+
+    /// Waits until callers get only complete answers again, to every kind of request.
+    pub async fn wait_complete(&mut self) -> anyhow::Result<()> {
+        let caller = Caller::open(self.fleet.callers());
+        let deadline = std::time::Instant::now() + crate::fleet::LONG;
+        let mut row = 0;
+        let mut last = None;
+        while row < IN_A_ROW {
+            ensure!(
+                std::time::Instant::now() < deadline,
+                "queries are not answered completely again; the last one came to {last:?}"
+            );
+            let kind = &KINDS[self.probe as usize % KINDS.len()];
+            let query = self.query(kind);
+            let at = Duration::ZERO;
+            let outcome = caller.query(&query).await;
+            let complete = matches!(&outcome.result, Ok(answer) if answer.complete);
+            row = if complete { row + 1 } else { 0 };
+            last = Some(outcome.result.clone().map(|answer| answer.coverage));
+            self.probes.push(Record { query, at, outcome });
+        }
+        Ok(())
+    }
+
+    fn query(&mut self, kind: &Kind) -> Query {
+        self.probe += 1;
+        Query {
+            index: kind.index.to_owned(),
+            kind: kind.kind.to_owned(),
+            deadline: kind.deadline,
+            routing_key: kind.keyed.then(|| format!("probe-{}", self.probe)),
+            idempotent: kind.idempotent,
+            body: format!("probe {}", self.probe).into(),
+        }
+    }
+
+    /// Returns an order under a new session of a node.
+    pub async fn order(&self, node: usize, body: &str) -> anyhow::Result<Order> {
+        let address = self.fleet.nodes[node].caller;
+        let reply = http::call_json(address, "GET", "/v1/addresses", &Json::Null).await?;
+        let addresses: Addresses = serde_json::from_value(reply)?;
+        Ok(Order {
+            id: format!("{}-1", addresses.session),
+            body: body.to_owned(),
+        })
+    }
+
+    /// Returns how often the journal shows that a request started.
+    pub async fn starts(&self, id: &str) -> anyhow::Result<usize> {
+        let journal = self.fleet.journal().await?;
+        let of = |entry: &&Entry| entry.request == id && entry.started;
+        Ok(journal.iter().filter(of).count())
+    }
+
+    /// Waits until the journal shows that a request started, and returns the target.
+    pub async fn wait_start(&self, id: &str) -> anyhow::Result<String> {
+        let mut target = None;
+        self.fleet
+            .wait(&format!("the start of {id}"), async || {
+                let journal = self.fleet.journal().await.unwrap_or_default();
+                let entry = journal.iter().find(|it| it.request == id && it.started);
+                target = entry.map(|it| it.target.to_string());
+                target.is_some()
+            })
+            .await?;
+        target.context("the request started at no target")
+    }
+
+    /// Gives all targets for orders a command.
+    pub async fn order_targets(&self, command: &Json) -> anyhow::Result<()> {
+        for name in ORDER_TARGETS {
+            let mut command = command.clone();
+            command["name"] = json!(name);
+            self.fleet.target(&command).await?;
+        }
+        Ok(())
+    }
+
+    /// Returns the names of all targets.
+    pub fn targets(&self) -> Vec<String> {
+        let targets = &self.fleet.spec().targets;
+        targets.iter().map(|target| target.name.clone()).collect()
+    }
+
+    /// Fails if the journal or the answers show a broken promise, and returns the verdict.
+    pub async fn check(&self, mut records: Vec<Record>) -> anyhow::Result<Verdict> {
+        records.extend(self.probes.iter().cloned());
+        let journal = self.fleet.journal().await?;
+        let targets = self.fleet.verdict().await?;
+        let verdict = judge(&records, &journal);
+        let overruns = targets.cold_overruns - targets.cold_overruns_unannounced;
+        let crowded = judge::crowded(&journal, self.fleet.spec());
+        ensure!(verdict.is_clean(), "a promise was broken: {verdict:#?}");
+        ensure!(targets.doubled == 0, "doubled: {:?}", targets.doubled_ids);
+        ensure!(
+            overruns == 0,
+            "P3: {overruns} cold overruns: {:?}",
+            targets.cold
+        );
+        ensure!(
+            targets.connection_overruns == 0,
+            "{} connections beyond the limit of a target",
+            targets.connection_overruns
+        );
+        ensure!(crowded.is_empty(), "beyond the slots: {crowded:?}");
+        ensure!(verdict.answered > 0, "no request was answered");
+        ensure!(
+            targets.non_idempotent_started > 0,
+            "no work that must run at most once has started, so P7 was not tried"
+        );
+        Ok(verdict)
+    }
+}
--- a/harness/src/fleet.rs
+++ b/harness/src/fleet.rs
@@ -13,7 +13,9 @@
 use tempfile::TempDir;
 
 /// Bounds every wait for a condition; it only ends waits that would never end otherwise.
-const LONG: Duration = Duration::from_mins(1);
+pub const LONG: Duration = Duration::from_mins(1);
+/// How long a status may take before the node counts as one that does not answer.
+const STATUS_TIMEOUT: Duration = Duration::from_secs(2);
 /// How often a condition is checked.
 const PERIOD: Duration = Duration::from_millis(20);
 
@@ -238,14 +240,28 @@
         self.accepted(&["apply", text(file)?])
     }
 
-    /// Returns the status of a node.
+    /// Returns the status of a node; a frozen node gives an error.
     pub async fn status(&self, number: usize) -> anyhow::Result<Json> {
-        http::call_json(
-            self.nodes[number].admin,
-            "GET",
-            "/admin/status",
-            &Json::Null,
-        )
+        let admin = self.nodes[number].admin;
+        let call = http::call_json(admin, "GET", "/admin/status", &Json::Null);
+        tokio::time::timeout(STATUS_TIMEOUT, call).await?
+    }
+
+    /// Waits until a node of a cell knows a record with so many members.
+    pub async fn wait_members(&self, cell: &str, count: usize) -> anyhow::Result<()> {
+        self.wait(&format!("{count} members in {cell}"), async || {
+            for (number, node) in self.nodes.iter().enumerate() {
+                if node.process.is_none() {
+                    continue;
+                }
+                let status = self.status(number).await.unwrap_or_default();
+                let members = status["record"]["members"].as_array();
+                if status["cell"] == json!(cell) && members.is_some_and(|it| it.len() == count) {
+                    return true;
+                }
+            }
+            false
+        })
         .await
     }
 
--- a/harness/src/judge.rs
+++ b/harness/src/judge.rs
@@ -9,6 +9,7 @@
 use serde::Serialize;
 use standins::target::Entry;
 use standins::target::expected;
+use standins::target::spec::Spec;
 
 use crate::load::Record;
 
@@ -90,6 +91,7 @@
                 coverage += share;
                 verdict.coverage_min = verdict.coverage_min.min(share);
                 check(answer, &record.query.body, &mut verdict);
+                verdict.false_not_run += u64::from(replaced_ran(record, &started));
             }
             Err(error) => refused(record, error, &started, &mut verdict),
         }
@@ -119,6 +121,31 @@
     starts.values().filter(|count| **count > 1).count() as u64
 }
 
+/// Tells whether an id ran although its caller was told that it did not, and took a new one.
+fn replaced_ran(record: &Record, started: &HashSet<&str>) -> bool {
+    let ids = &record.outcome.requests;
+    let replaced = &ids[..ids.len().saturating_sub(1)];
+    replaced.iter().any(|id| started.contains(id.as_str()))
+}
+
+/// Returns the targets that had more requests at once than they have slots, with that number.
+///
+/// Only the owner of a target counts its slots, so a larger number shows two owners at once.
+pub fn crowded(journal: &[Entry], spec: &Spec) -> BTreeMap<String, u32> {
+    let mut highest: HashMap<&str, u32> = HashMap::new();
+    for entry in journal {
+        let most = highest.entry(&entry.target).or_default();
+        *most = entry.at_once.max(*most);
+    }
+    let targets = spec.targets.iter();
+    targets
+        .filter_map(|target| {
+            let most = *highest.get(target.name.as_str())?;
+            (most > target.slots).then(|| (target.name.clone(), most))
+        })
+        .collect()
+}
+
 fn refused(record: &Record, error: &Error, started: &HashSet<&str>, verdict: &mut Verdict) {
     let reason = match error {
         Error::Refused(refusal) => refusal.reason.to_string(),
--- a/harness/src/load.rs
+++ b/harness/src/load.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use rand::{Rng, SeedableRng};
@@ -81,6 +82,7 @@
     task: tokio::task::JoinHandle<Vec<Record>>,
     stop: tokio::sync::watch::Sender<bool>,
     begun: Instant,
+    ended: Arc<AtomicU64>,
 }
 
 impl Load {
@@ -97,8 +99,20 @@
             .collect();
         let (stop, stopped) = tokio::sync::watch::channel(false);
         let begun = Instant::now();
-        let task = tokio::spawn(run(kinds.to_vec(), callers, seed, stopped, begun));
-        Self { task, stop, begun }
+        let ended = Arc::new(AtomicU64::new(0));
+        let counter = Arc::clone(&ended);
+        let task = tokio::spawn(run(kinds.to_vec(), callers, seed, stopped, begun, counter));
+        Self {
+            task,
+            stop,
+            begun,
+            ended,
+        }
+    }
+
+    /// Returns how many requests have ended, in any way.
+    pub fn ended(&self) -> u64 {
+        self.ended.load(Ordering::Relaxed)
     }
 
     /// Returns the time since the load began.
@@ -120,6 +134,7 @@
     seed: u64,
     mut stopped: tokio::sync::watch::Receiver<bool>,
     begun: Instant,
+    ended: Arc<AtomicU64>,
 ) -> Vec<Record> {
     let mut random = Pcg64Mcg::seed_from_u64(seed);
     let mut running = JoinSet::new();
@@ -135,8 +150,10 @@
         let query = draw(&kinds, total, number, &mut random);
         let caller = Arc::clone(&callers[random.random_range(0..callers.len())]);
         let at = begun.elapsed();
+        let ended = Arc::clone(&ended);
         running.spawn(async move {
             let outcome = caller.query(&query).await;
+            ended.fetch_add(1, Ordering::Relaxed);
             Record { query, at, outcome }
         });
         while let Some(Ok(record)) = running.try_join_next() {
