--- a/src/process/cell.rs
+++ b/src/process/cell.rs
@@ -995,7 +995,7 @@
                 let proposed = with(&ballot.members, me);
                 return Some((now, next(&record.members, Some(proposed))));
             }
-            let wait = RANK_STEP * self.rank(record, ballot)?;
+            let wait = RANK_STEP * self.rank(record, ballot);
             return if self.seen_by_majority(record) {
                 let due = (self.record_since + wait).max(self.next_swap);
                 Some((due, next(&ballot.members, None)))
@@ -1079,8 +1079,8 @@
     }
 
     /// Returns the order in which nodes close a ballot: who joins, then the proposed members by name,
-    /// then who leaves.
-    fn rank(&self, record: &Record, ballot: &Ballot) -> Option<u32> {
+    /// then who leaves, then all others. The others matter if every listed incarnation has ended.
+    fn rank(&self, record: &Record, ballot: &Ballot) -> u32 {
         let me = &self.config.me;
         let joins = ballot
             .members
@@ -1094,11 +1094,9 @@
             .members
             .iter()
             .filter(|member| !ballot.members.contains(member));
-        let place = joins
-            .chain(stays)
-            .chain(leaves)
-            .position(|member| member == me)?;
-        u32::try_from(place).ok()
+        let order: SmallVec<[&Member; MEMBERS_MAX]> = joins.chain(stays).chain(leaves).collect();
+        let place = order.iter().position(|member| *member == me);
+        place.unwrap_or(order.len()) as u32
     }
 
     /// Returns a delay that differs between nodes and between revisions.
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -83,6 +83,33 @@
     assert_eq!(world.served(), ALL);
 }
 
+/// Guards against a record that nobody may change any more because all listed incarnations have ended.
+#[rstest]
+fn a_cell_survives_a_restart_of_all_its_nodes(#[values(false, true)] during_ballot: bool) {
+    let mut world = three();
+    if during_ballot {
+        world.event(2, Event::Stopping);
+        while world
+            .store
+            .record
+            .as_ref()
+            .expect("it exists")
+            .0
+            .ballot
+            .is_none()
+        {
+            world.deliver();
+        }
+    }
+    for node in 0..3 {
+        world.crash(node);
+        world.start(node);
+    }
+    world.run(200, STEP);
+    assert!((0..3).all(|node| world.cell(node).is_member()));
+    assert_eq!(world.served(), ALL);
+}
+
 /// Guards against permits that depend on the store while a majority is up, and on a majority while the
 /// store is up.
 #[rstest]
