Suspect a target whose answers turn slow before it counts as cold

A suspected target still gets only a cold target's load, but returns after a few answers at the usual speed. A caller sends an idempotent request to a second node early only once.

--- a/src/client/mod.rs
+++ b/src/client/mod.rs
@@ -177,7 +177,7 @@
             let place = first.wrapping_add(u64::from(*attempts)) % listed.addresses.len() as u64;
             let address = listed.addresses[place as usize];
             *attempts += 1;
-            let timeout = attempt_limit(query, left, self.clock.now().until(give_up));
+            let timeout = attempt_limit(query, *attempts, left, self.clock.now().until(give_up));
             match self.attempt(address, query, &request, left, timeout).await {
                 Attempt::Answer(answer) => return Ok(answer),
                 Attempt::Refused(refusal) if !retryable(&refusal) => {
@@ -297,8 +297,9 @@
 ///
 /// A node that is frozen accepts connections and answers nothing. A request that may run twice is
 /// sent to another node while half of its time is left.
-fn attempt_limit(query: &Query, left: Duration, whole: Duration) -> Duration {
-    if query.idempotent && left > LEAST_ATTEMPT * 2 {
+fn attempt_limit(query: &Query, attempt: u32, left: Duration, whole: Duration) -> Duration {
+    // Only once for each request: under overload more of this would keep the overload up.
+    if attempt == 1 && query.idempotent && left > LEAST_ATTEMPT * 2 {
         left / 2
     } else {
         whole
--- a/src/process/ramp.rs
+++ b/src/process/ramp.rs
@@ -378,10 +378,21 @@
             && latency > usual + SURGE_EXCESS
     }
 
+    /// Counts a slow answer.
+    ///
+    /// Slow answers may come from a target that turned cold or from a busy network or node. Both are
+    /// answered with the load of a cold target; only a target that stays slow under that load must
+    /// give all the answers of a cold start before it gets more.
     fn count_slow(&mut self, now: Moment) {
         self.slow += 1;
-        if self.slow >= SURGE_ANSWERS {
+        if self.slow < SURGE_ANSWERS {
+            return;
+        }
+        if self.suspended.is_some() || self.level.stage == Stage::Cold {
             self.cool(now);
+        } else {
+            self.slow = 0;
+            self.suspect(now);
         }
     }
 
