--- /dev/null
+++ b/harness/src/bin/redwinggrade-capacity.rs
@@ -0,0 +1,298 @@
+//! Measures what control costs a node as the number of nodes, targets, changes and queries grows.
+//!
+//! Processor time and memory come from the kernel, bytes and calls from the nodes' counters and the
+//! store stand-in's count. `docs/CAPACITY.md` extrapolates from these figures.
+
+use std::path::Path;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use anyhow::Context;
+use clap::{Parser, ValueEnum};
+use redwinggrade_demo::fleet::{Config, Fleet};
+use redwinggrade_demo::load::{Kind, Load};
+use serde_json::json;
+use standins::spec::Builder;
+use standins::target::spec::Spec;
+
+/// The options.
+#[derive(Debug, Clone, Parser)]
+#[command(
+    name = "redwinggrade-capacity",
+    version,
+    about = "Measures what control costs a node"
+)]
+struct Args {
+    /// What grows
+    #[arg(value_enum)]
+    series: Series,
+    /// The sizes to measure
+    #[arg(long, value_delimiter = ',')]
+    sizes: Vec<usize>,
+    /// Length of each measurement in seconds
+    #[arg(long, default_value_t = 10)]
+    seconds: u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+enum Series {
+    /// Members of one cell
+    Members,
+    /// Cells of three members each
+    Cells,
+    /// Targets in the membership list that the nodes do not own
+    Targets,
+    /// Changes of the settings per second
+    Changes,
+    /// Queries per second, each to 20 shards
+    Queries,
+}
+
+impl Series {
+    fn sizes(self) -> Vec<usize> {
+        match self {
+            Self::Members => vec![2, 4, 8, 16],
+            Self::Cells => vec![1, 2, 4, 8],
+            Self::Targets => vec![0, 1_000, 4_000, 16_000],
+            Self::Changes => vec![0, 1, 2, 4],
+            Self::Queries => vec![0, 100, 200, 400],
+        }
+    }
+}
+
+/// What one node spent per second, on average over all nodes.
+#[derive(Debug, Clone, Copy, Default)]
+struct Spent {
+    cpu_s: f64,
+    control_bytes: f64,
+    control_calls: f64,
+    legs: f64,
+    store_calls: f64,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    match run(&Args::parse()).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("redwinggrade-capacity: {e:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(args: &Args) -> anyhow::Result<()> {
+    let sizes = if args.sizes.is_empty() {
+        args.series.sizes()
+    } else {
+        args.sizes.clone()
+    };
+    println!(
+        "series {:?}, {} s each; bytes and calls per node count both directions",
+        args.series, args.seconds
+    );
+    println!(
+        "  size  cpu % of a core  memory MB  control B/s  control calls/s  legs/s  cpu us/leg  store calls/s (all)"
+    );
+    for size in sizes {
+        let (spent, memory) = measure(args, size).await?;
+        let per_leg = if spent.legs > 0.0 {
+            spent.cpu_s * 1e6 / spent.legs
+        } else {
+            0.0
+        };
+        println!(
+            "{size:6}  {:15.2}  {memory:9.1}  {:11.0}  {:15.1}  {:6.0}  {per_leg:10.1}  {:7.1}",
+            spent.cpu_s * 100.0,
+            spent.control_bytes * 2.0,
+            spent.control_calls * 2.0,
+            spent.legs,
+            spent.store_calls,
+        );
+    }
+    Ok(())
+}
+
+async fn measure(args: &Args, size: usize) -> anyhow::Result<(Spent, f64)> {
+    let (centres, nodes) = match args.series {
+        Series::Members => (1, size),
+        Series::Cells => (size, size * 3),
+        Series::Targets | Series::Changes | Series::Queries => (3, 3),
+    };
+    let directory = tempfile::tempdir()?;
+    let data_centres: Vec<String> = (1..=centres).map(|number| format!("dc{number}")).collect();
+    let settings = directory.path().join("settings.yaml");
+    std::fs::write(&settings, tree(&data_centres, 0))?;
+    let spec = match args.series {
+        Series::Queries => {
+            let index = standins::spec::Index {
+                slots: 16,
+                ..standins::spec::MAGNOLIA[0]
+            };
+            Builder::of(vec![index]).build()
+        }
+        _ => Spec {
+            seed: 1,
+            targets: Vec::new(),
+        },
+    };
+    let config = Config {
+        spec,
+        data_centres: data_centres.clone(),
+        nodes,
+        settings,
+        threads: 1,
+    };
+    let fleet = Fleet::start(config).await?;
+    if args.series == Series::Targets && size > 0 {
+        fleet.list(&json!(listed(size))).await?;
+    }
+    let load = (args.series == Series::Queries && size > 0).then(|| {
+        let kind = Kind {
+            index: "proof-viewing",
+            kind: "match",
+            rate: size as f64,
+            deadline: Duration::from_secs(1),
+            idempotent: true,
+            keyed: false,
+        };
+        Load::spawn(&[kind], 12, &fleet.callers(), 1)
+    });
+    // Joining and warming up are not part of the steady cost.
+    tokio::time::sleep(SETTLE).await;
+    let before = read(&fleet).await?;
+    let begun = tokio::time::Instant::now();
+    let changing = async {
+        if args.series == Series::Changes && size > 0 {
+            change(&fleet, directory.path(), &data_centres, size, args.seconds).await
+        } else {
+            tokio::time::sleep(Duration::from_secs(args.seconds)).await;
+            Ok(())
+        }
+    };
+    changing.await?;
+    let after = read(&fleet).await?;
+    let seconds = begun.elapsed().as_secs_f64();
+    if let Some(load) = load {
+        load.finish().await?;
+    }
+    let count = nodes as f64 * seconds;
+    let spent = Spent {
+        cpu_s: (after.cpu_s - before.cpu_s) / count,
+        control_bytes: (after.control_bytes - before.control_bytes) / count,
+        control_calls: (after.control_calls - before.control_calls) / count,
+        legs: (after.legs - before.legs) / count,
+        store_calls: (after.store_calls - before.store_calls) / seconds,
+    };
+    Ok((spent, memory(&fleet)?))
+}
+
+/// The time that a fleet gets to join, to read the list and to warm its targets.
+const SETTLE: Duration = Duration::from_secs(8);
+
+async fn change(
+    fleet: &Fleet,
+    directory: &Path,
+    data_centres: &[String],
+    rate: usize,
+    seconds: u64,
+) -> anyhow::Result<()> {
+    let begun = tokio::time::Instant::now();
+    for number in 1..=rate * seconds as usize {
+        tokio::time::sleep_until(begun + Duration::from_secs_f64(number as f64 / rate as f64))
+            .await;
+        let file = directory.join("change.yaml");
+        std::fs::write(&file, tree(data_centres, number))?;
+        let file = file.to_str().context("the path is not valid UTF-8")?;
+        // The confirmation is not waited for, so that the rate is kept.
+        fleet.operate(&["apply", file, "--timeout", "0"])?;
+    }
+    Ok(())
+}
+
+fn tree(data_centres: &[String], number: usize) -> String {
+    use std::fmt::Write;
+
+    let mut text = format!(
+        "defaults: {{ deadline_ms: {}, slots: 16 }}\ndata_centres:\n",
+        200 + number % 2
+    );
+    for name in data_centres {
+        writeln!(text, "  {name}: {{ state: in, cells: [{name}-0] }}").expect("a string grows");
+    }
+    text += "indexes:\n  proof-viewing:\n    kinds:\n      match: {}\n    services:\n";
+    for number in 0..20 {
+        writeln!(text, "      s{number:02}: {{}}").expect("a string grows");
+    }
+    text
+}
+
+fn listed(count: usize) -> Vec<serde_json::Value> {
+    (0..count)
+        .map(|number| {
+            json!({
+                "name": format!("far-{number}"),
+                "role": "target",
+                "address": format!("127.0.0.1:{}", 1 + number % 60_000),
+                "data_centre": "dc99",
+                "index": "proof-viewing",
+                "service": format!("s{:02}", number % 20),
+                "replica": number / 20,
+                "state": "live",
+            })
+        })
+        .collect()
+}
+
+async fn read(fleet: &Fleet) -> anyhow::Result<Spent> {
+    let counters = fleet.counters().await?;
+    let counter = |name: &str| counters.get(name).copied().unwrap_or(0.0);
+    let legs = counters
+        .iter()
+        .filter(|(name, _)| name.starts_with("legs_total"));
+    let calls = fleet.store_calls().await?;
+    let total = |name: &str| calls[name].as_f64().unwrap_or(0.0);
+    let mut cpu_s = 0.0;
+    for number in 0..fleet.nodes.len() {
+        cpu_s += processor_time(fleet.process_id(number).context("a node has ended")?)?;
+    }
+    Ok(Spent {
+        cpu_s,
+        control_bytes: counter("control_bytes_total"),
+        control_calls: counter("control_calls_total"),
+        legs: legs.map(|(_, value)| value).sum(),
+        store_calls: total("reads") + total("writes"),
+    })
+}
+
+/// Returns the processor time that a process has used, in seconds.
+fn processor_time(id: u32) -> anyhow::Result<f64> {
+    /// The kernel counts in units of 10 ms.
+    const TICKS_PER_SECOND: f64 = 100.0;
+    let stat = std::fs::read_to_string(format!("/proc/{id}/stat"))?;
+    // The name in parentheses may hold spaces; the fields after it do not.
+    let (_, rest) = stat
+        .rsplit_once(')')
+        .context("the kernel's answer has no name")?;
+    let fields: Vec<&str> = rest.split_whitespace().collect();
+    let ticks = |place: usize| -> anyhow::Result<f64> {
+        Ok(fields
+            .get(place)
+            .context("a field is missing")?
+            .parse::<f64>()?)
+    };
+    Ok((ticks(11)? + ticks(12)?) / TICKS_PER_SECOND)
+}
+
+/// Returns the resident memory of a node in MB, the mean over all nodes.
+fn memory(fleet: &Fleet) -> anyhow::Result<f64> {
+    let mut total = 0.0;
+    for number in 0..fleet.nodes.len() {
+        let id = fleet.process_id(number).context("a node has ended")?;
+        let status = std::fs::read_to_string(format!("/proc/{id}/status"))?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kilobytes = line.and_then(|line| line.split_whitespace().next());
+        total += kilobytes.context("no VmRSS")?.parse::<f64>()? / 1024.0;
+    }
+    Ok(total / fleet.nodes.len() as f64)
+}
--- a/harness/src/fleet.rs
+++ b/harness/src/fleet.rs
@@ -176,6 +176,22 @@
         Ok(())
     }
 
+    /// Returns the process id of a running node.
+    pub fn process_id(&self, number: usize) -> Option<u32> {
+        self.nodes[number].process.as_ref().map(Process::id)
+    }
+
+    /// Adds instances to the membership list, apart from those that the targets registered.
+    pub async fn list(&self, instances: &Json) -> anyhow::Result<()> {
+        http::call_json(self.members, "POST", "/admin/instances", instances).await?;
+        Ok(())
+    }
+
+    /// Returns the address of the store stand-in.
+    pub fn store(&self) -> SocketAddr {
+        self.store
+    }
+
     /// Sends a signal to a node.
     pub fn signal(&mut self, number: usize, signal: Signal) -> anyhow::Result<()> {
         let node = &mut self.nodes[number];
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -50,7 +50,9 @@
     pub store_failures: Counter,
     /// Exchanges with other nodes that failed.
     pub exchange_failures: Counter,
-    /// Bytes of control messages received.
+    /// Control messages of other nodes that this node answered.
+    pub control_calls: Counter,
+    /// Bytes of these messages and of their answers, without HTTP framing.
     pub control_bytes: Counter,
     /// The version of the settings in force.
     pub settings_version: Gauge,
@@ -79,6 +81,7 @@
             store_calls: Counter::default(),
             store_failures: Counter::default(),
             exchange_failures: Counter::default(),
+            control_calls: Counter::default(),
             control_bytes: Counter::default(),
             settings_version: Gauge::default(),
             cell_revision: Gauge::default(),
@@ -136,8 +139,13 @@
             self.exchange_failures.clone(),
         );
         registry.register(
-            "control_received",
-            "Control messages received",
+            "control_calls",
+            "Control messages answered",
+            self.control_calls.clone(),
+        );
+        registry.register(
+            "control_bytes",
+            "Bytes of control messages and their answers",
             self.control_bytes.clone(),
         );
         registry.register(
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -432,6 +432,23 @@
         self.answer_once(ask, policy, &view).await
     }
 
+    /// Answers one message of a peer.
+    async fn serve(self: &Arc<Self>, path: &str, body: &[u8]) -> Result<Bytes, StatusCode> {
+        match path {
+            EXCHANGE_PATH => encode(self.control.exchange(decode(body)?).await.as_ref()),
+            RECORDS_PATH => encode(self.control.records(decode(body)?).await.as_ref()),
+            SETTINGS_PATH => encode(self.control.deltas(decode(body)?).await.as_ref()),
+            RUN_PATH => encode(Some(&self.run(decode(body)?).await)),
+            CANCEL_PATH => {
+                let cancel: Cancel = decode(body)?;
+                let gateway = &self.coordinator.gateway;
+                gateway.cancel(&cancel.target, &cancel.request, cancel.leg);
+                encode(Some(&()))
+            }
+            _ => Err(StatusCode::NOT_FOUND),
+        }
+    }
+
     fn count(&self, refusal: &Refusal) -> Reply {
         self.metrics.refuse(refusal.reason);
         refusal.reply()
@@ -540,20 +557,13 @@
     type Running = Offered;
 
     async fn call(&self, path: &str, body: Bytes) -> Result<Bytes, StatusCode> {
-        self.metrics.control_bytes.inc_by(body.len() as u64);
-        match path {
-            EXCHANGE_PATH => encode(self.control.exchange(decode(&body)?).await.as_ref()),
-            RECORDS_PATH => encode(self.control.records(decode(&body)?).await.as_ref()),
-            SETTINGS_PATH => encode(self.control.deltas(decode(&body)?).await.as_ref()),
-            RUN_PATH => encode(Some(&self.run(decode(&body)?).await)),
-            CANCEL_PATH => {
-                let cancel: Cancel = decode(&body)?;
-                let gateway = &self.coordinator.gateway;
-                gateway.cancel(&cancel.target, &cancel.request, cancel.leg);
-                encode(Some(&()))
-            }
-            _ => Err(StatusCode::NOT_FOUND),
+        let answer = self.serve(path, &body).await?;
+        if path != RUN_PATH {
+            self.metrics.control_calls.inc();
+            let bytes = body.len() + answer.len();
+            self.metrics.control_bytes.inc_by(bytes as u64);
         }
+        Ok(answer)
     }
 
     fn scatter(&self, batch: Batch, reply: mpsc::UnboundedSender<Frame>) -> Offered {
