Refuse waiting jobs while a replica can still answer in time

Cause: under overload the head of the queue was always the job nearest to its deadline. With the latency unknown after a cold start, every dispatched job timed out and the target stayed cold. Change: a waiting job needs twice the recent latency, or half its time if the latency is unknown.

--- a/src/process/gate.rs
+++ b/src/process/gate.rs
@@ -108,6 +108,8 @@
     deadline: Moment,
     key: JobKey,
     idempotent: bool,
+    /// The moment after which the job is refused rather than dispatched.
+    latest: Moment,
 }
 
 /// A job that occupies a slot.
@@ -136,7 +138,7 @@
     valid_from: Moment,
     ramp: Ramp,
     queue: BTreeSet<Queued>,
-    /// No queued job has an earlier deadline.
+    /// No queued job must start earlier.
     queue_until: Moment,
     running: SmallVec<[Running; 8]>,
     closed: Option<Reason>,
@@ -181,8 +183,8 @@
             }
         }
         self.expire_running(now, &mut actions);
-        self.expire_queue(now, &mut actions);
         self.dispatch(now, permit_until, &mut actions);
+        self.expire_queue(now, &mut actions);
         while self.queue.len() > usize::from(self.policy.queue) {
             if let Some(worst) = self.queue.pop_last() {
                 actions.push(Action::Refuse(worst.key, Reason::QueueFull));
@@ -230,28 +232,33 @@
             return;
         }
         self.ramp.observe(self.running.len(), now);
+        let remaining = now.until(job.deadline);
+        let latency = self.ramp.trusted_latency(now);
+        // A job that waits needs a margin over the mean. Otherwise an overloaded queue, whose head
+        // is always the job nearest to its deadline, spends the slots on jobs that time out; with an
+        // unknown latency, no answer would ever make it known.
+        let needed = latency.map_or(remaining / 2, |latency| latency * 2);
         let queued = Queued {
             priority: job.priority,
             deadline: job.deadline,
             key: job.key,
             idempotent: job.idempotent,
+            latest: (job.deadline - needed).max(now),
         };
-        if now + self.expected_time(&queued, now) > job.deadline {
+        let wait = self.expected_wait(&queued, now);
+        if remaining <= latency.unwrap_or_default() || now + wait > queued.latest {
             actions.push(Action::Refuse(job.key, Reason::Expired));
             return;
         }
-        self.queue_until = self.queue_until.min(job.deadline);
+        self.queue_until = self.queue_until.min(queued.latest);
         let fresh = self.queue.insert(queued);
         debug_assert!(fresh, "a job key is offered once");
     }
 
-    /// Estimates the time until the answer of a job if it is queued now.
-    fn expected_time(&self, job: &Queued, now: Moment) -> Duration {
+    /// Estimates the time until the start of a job if it is queued now.
+    fn expected_wait(&self, job: &Queued, now: Moment) -> Duration {
         let ahead = u32::try_from(self.queue.range(..job).count()).unwrap_or(u32::MAX);
         let paced = now.until(self.ramp.next_start()) + self.ramp.interval().saturating_mul(ahead);
-        let Some(latency) = self.ramp.trusted_latency(now) else {
-            return paced;
-        };
         let limit = u32::from(self.ramp.limit().max(1));
         let free = limit.saturating_sub(u32::try_from(self.running.len()).unwrap_or(u32::MAX));
         let rounds = if ahead < free {
@@ -259,7 +266,8 @@
         } else {
             (ahead - free) / limit + 1
         };
-        paced.max(latency.saturating_mul(rounds)) + latency
+        let latency = self.ramp.trusted_latency(now).unwrap_or_default();
+        paced.max(latency.saturating_mul(rounds))
     }
 
     fn finish(&mut self, key: JobKey, result: Completion, now: Moment) {
@@ -327,7 +335,7 @@
         });
     }
 
-    /// Refuses queued jobs whose deadline has passed.
+    /// Refuses queued jobs that must have started by now, while a replica may still answer in time.
     fn expire_queue(&mut self, now: Moment, actions: &mut Actions) {
         if now < self.queue_until {
             return;
@@ -335,8 +343,8 @@
         self.queue_until = Moment::NEVER;
         let until = &mut self.queue_until;
         self.queue.retain(|queued| {
-            if queued.deadline > now {
-                *until = (*until).min(queued.deadline);
+            if queued.latest > now {
+                *until = (*until).min(queued.latest);
                 return true;
             }
             actions.push(Action::Refuse(queued.key, Reason::Expired));
@@ -355,7 +363,7 @@
                 return;
             };
             let latency = self.ramp.trusted_latency(now).unwrap_or_default();
-            if job.deadline <= now || now + latency > job.deadline {
+            if job.latest < now || now + latency >= job.deadline {
                 actions.push(Action::Refuse(job.key, Reason::Expired));
                 continue;
             }
--- a/tests/gate.rs
+++ b/tests/gate.rs
@@ -145,6 +145,21 @@
     assert_eq!(bench.offer(1, 500).1, []);
 }
 
+/// Guards against an overloaded queue that runs only jobs which are about to expire, so that none is
+/// answered and the latency stays unknown.
+#[test]
+fn a_job_that_waited_half_its_time_is_left_to_a_replica() {
+    let mut bench = Bench::open();
+    let [first, _] = bench.fill();
+    let (key, _) = bench.offer(1, 100);
+    assert!(bench.gate.wake().unwrap() <= bench.now + MS * 50);
+    bench.now = bench.now + MS * 50;
+    assert_eq!(
+        bench.finish(first, ANSWERED),
+        [Action::Refuse(key, Reason::Expired)]
+    );
+}
+
 /// Guards against a slot that is used twice because the answer of its job is no longer waited for.
 #[rstest]
 #[case::cancelled(false)]
