Wait for the holdings in the test of the summaries

Cause: a target is reported as usable once it accepts connections, before its status call is answered; the test read the holdings of that first report and failed in one of three runs. Change: the test waits for a report with holdings.

--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -291,8 +291,10 @@
 async fn summaries_report_changes() {
     let fake = Fake::open().await;
     let gateway = gateway(&fake).await;
-    eventually("the target is reported", || {
-        gateway.summaries(0).0.iter().any(|summary| summary.usable)
+    eventually("the target is reported with its holdings", || {
+        let summaries = gateway.summaries(0).0;
+        let mut reported = summaries.iter();
+        reported.any(|summary| summary.usable && !summary.holdings.is_empty())
     })
     .await;
     let (summaries, mark) = gateway.summaries(0);
