--- a/src/command/data_centre.rs
+++ b/src/command/data_centre.rs
@@ -50,10 +50,7 @@
             format!("{}: {reason}", target.name),
         ));
     }
-    let edit = Edit::Set {
-        path,
-        value: state.into(),
-    };
+    let edit = Edit::set(path, state);
     let timeout = Duration::from_secs(target.wait.timeout);
     change::edit(context, &[edit], timeout).await
 }
--- a/src/command/instance.rs
+++ b/src/command/instance.rs
@@ -46,12 +46,9 @@
         ));
     }
     let edit = match &arguments.direction {
-        Direction::Out(_) => Edit::Set {
-            path: format!("{path}.state"),
-            value: "out".into(),
-        },
+        Direction::Out(_) => Edit::set(format!("{path}.state"), "out"),
         // An instance is in service unless the settings mention it, so that the section can go.
-        Direction::In(_) => Edit::Unset { path },
+        Direction::In(_) => Edit::unset(path),
     };
     let timeout = Duration::from_secs(target.wait.timeout);
     change::edit(context, &[edit], timeout).await
--- a/src/version/edit.rs
+++ b/src/version/edit.rs
@@ -34,14 +34,16 @@
         }
     }
 
-    fn set<P: Into<String>>(path: P, value: Json) -> Self {
+    /// Sets a value, or declares a section if the value is null.
+    pub fn set<P: Into<String>, V: Into<Json>>(path: P, value: V) -> Self {
         Self::Set {
             path: path.into(),
-            value,
+            value: value.into(),
         }
     }
 
-    fn unset<P: Into<String>>(path: P) -> Self {
+    /// Removes a value or a section.
+    pub fn unset<P: Into<String>>(path: P) -> Self {
         Self::Unset { path: path.into() }
     }
 }
--- a/src/version/log.rs
+++ b/src/version/log.rs
@@ -273,7 +273,7 @@
 }
 
 /// Who makes a change, and when.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub struct Origin {
     /// Identifies the write.
     pub operation: String,
--- a/tests/command.rs
+++ b/tests/command.rs
@@ -19,11 +19,10 @@
     let mark = settings::head(&store).await.unwrap();
     let old = settings::tree(&store, &mark, mark.version()).await.unwrap();
     let path = path.to_owned();
-    let new = edit::apply(&old, &[Edit::Set { path, value }]).unwrap();
+    let new = edit::apply(&old, &[Edit::set(path, value)]).unwrap();
     let origin = Origin {
         operation: format!("{}-00000000000000aa", mark.version()),
-        author: "other".to_owned(),
-        written_ms: 0,
+        ..Origin::default()
     };
     let change = Change::prepare(mark.version(), 1, Some(&old), &new, origin);
     let entry = (
--- a/tests/edit.rs
+++ b/tests/edit.rs
@@ -47,7 +47,7 @@
     });
     let section = (place, value).prop_map(|(place, (key, value))| (place + &key, value));
     let edit =
-        prop_oneof![4 => section, 1 => kind].prop_map(|(path, value)| Edit::Set { path, value });
+        prop_oneof![4 => section, 1 => kind].prop_map(|(path, value)| Edit::set(path, value));
     prop::collection::vec(edit, count)
 }
 
@@ -93,6 +93,27 @@
         .unwrap();
 }
 
+/// Guards against a value that is used although it was truncated or a byte of it was changed.
+#[test]
+fn damage_of_any_byte_is_detected() {
+    let tree = Tree::parse(LEVELS, "levels.yaml").unwrap();
+    let change = change(1, &Tree::default(), &tree);
+    let good = log::encode(&change.entry).to_vec();
+    let (place, byte) = (0..good.len(), any::<u8>());
+    runner()
+        .run(&(place, byte, any::<bool>()), |(place, byte, cut)| {
+            let mut value = good.clone();
+            value[place] = byte;
+            value.truncate(if cut { place } else { good.len() });
+            // Some changes leave the meaning as it is, such as the case of an escape.
+            if let Ok(entry) = log::decode::<Entry>("key", &value) {
+                prop_assert_eq!(entry, change.entry.clone());
+            }
+            Ok(())
+        })
+        .unwrap();
+}
+
 /// Guards against lookups that disagree with what operators are shown, also where a change shares
 /// most of its tree with the version before.
 #[test]
@@ -130,21 +151,13 @@
 #[case("indexes..slots", json!(1))]
 fn bad_edits_are_refused_with_their_path(#[case] path: &str, #[case] value: Json) {
     let tree = Tree::parse(LEVELS, "levels.yaml").unwrap();
-    let edit = Edit::Set {
-        path: path.to_owned(),
-        value,
-    };
+    let edit = Edit::set(path, value);
     let error = edit::apply(&tree, &[edit]).unwrap_err();
     assert!(path.starts_with(&error.faults[0].key), "{error}");
 }
 
 fn change(base: u64, old: &Tree, new: &Tree) -> Change {
-    let origin = Origin {
-        operation: "op".to_owned(),
-        author: "tester".to_owned(),
-        written_ms: 1,
-    };
-    Change::prepare(base, 1, Some(old), new, origin)
+    Change::prepare(base, 1, Some(old), new, Origin::default())
 }
 
 /// Guards against values over the store's limit, at the number of services of the target scale.
--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -37,16 +37,8 @@
 
     fn write(&mut self, version: u64) {
         let old = self.trees.last().unwrap();
-        let edit = Edit::Set {
-            path: "defaults.queue".to_owned(),
-            value: version.into(),
-        };
+        let edit = Edit::set("defaults.queue", version);
         let new = edit::apply(old, &[edit]).unwrap();
-        let origin = Origin {
-            operation: format!("op-{version}"),
-            author: "tester".to_owned(),
-            written_ms: 0,
-        };
         let snapshot = self
             .changes
             .last()
@@ -56,7 +48,7 @@
             snapshot,
             Some(old),
             &new,
-            origin,
+            Origin::default(),
         ));
         self.trees.push(new);
     }
@@ -143,13 +135,9 @@
     let mut log = Log::open(2);
     let mut replica = Replica::open();
     log.bring(&mut replica, 2, at(1));
-    let origin = Origin {
-        operation: "repair".to_owned(),
-        author: "tester".to_owned(),
-        written_ms: 0,
-    };
     let tree = log.trees[1].clone();
-    log.changes.push(Change::prepare(2, 1, None, &tree, origin));
+    log.changes
+        .push(Change::prepare(2, 1, None, &tree, Origin::default()));
     log.trees.push(tree);
     log.write(4);
     log.bring(&mut replica, 4, at(10));
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -142,22 +142,14 @@
     for version in 1..=300 {
         let mark = settings::head(&store).await.unwrap();
         let old = trees.last().unwrap();
-        let edit = Edit::Set {
-            path: "defaults.queue".to_owned(),
-            value: version.into(),
-        };
+        let edit = Edit::set("defaults.queue", version);
         let new = edit::apply(old, &[edit]).unwrap();
-        let origin = Origin {
-            operation: String::new(),
-            author: String::new(),
-            written_ms: 0,
-        };
         let change = Change::prepare(
             version - 1,
             mark.snapshot_version(),
             Some(old),
             &new,
-            origin,
+            Origin::default(),
         );
         let written = settings::write(&store, &mark, &change).await.unwrap();
         assert_eq!(written, settings::Written::Stored);
