--- a/harness/src/fleet.rs
+++ b/harness/src/fleet.rs
@@ -1,5 +1,6 @@
 //! The processes of one installation: stand-ins and nodes, with the operators' client.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
@@ -13,7 +14,9 @@
 use tempfile::TempDir;
 
 /// Bounds every wait for a condition; it only ends waits that would never end otherwise.
-const LONG: Duration = Duration::from_mins(1);
+pub const LONG: Duration = Duration::from_mins(1);
+/// How long a status may take before the node counts as one that does not answer.
+const STATUS_TIMEOUT: Duration = Duration::from_secs(2);
 /// How often a condition is checked.
 const PERIOD: Duration = Duration::from_millis(20);
 
@@ -238,14 +241,28 @@
         self.accepted(&["apply", text(file)?])
     }
 
-    /// Returns the status of a node.
+    /// Returns the status of a node; a frozen node gives an error.
     pub async fn status(&self, number: usize) -> anyhow::Result<Json> {
-        http::call_json(
-            self.nodes[number].admin,
-            "GET",
-            "/admin/status",
-            &Json::Null,
-        )
+        let admin = self.nodes[number].admin;
+        let call = http::call_json(admin, "GET", "/admin/status", &Json::Null);
+        tokio::time::timeout(STATUS_TIMEOUT, call).await?
+    }
+
+    /// Waits until a node of a cell knows a record with so many members.
+    pub async fn wait_members(&self, cell: &str, count: usize) -> anyhow::Result<()> {
+        self.wait(&format!("{count} members in {cell}"), async || {
+            for (number, node) in self.nodes.iter().enumerate() {
+                if node.process.is_none() {
+                    continue;
+                }
+                let status = self.status(number).await.unwrap_or_default();
+                let members = status["record"]["members"].as_array();
+                if status["cell"] == json!(cell) && members.is_some_and(|it| it.len() == count) {
+                    return true;
+                }
+            }
+            false
+        })
         .await
     }
 
@@ -260,6 +277,23 @@
         Ok(value.map_or(Ok(0.0), str::parse)?)
     }
 
+    /// Returns the sum over the running nodes of each counter with its labels.
+    pub async fn counters(&self) -> anyhow::Result<BTreeMap<String, f64>> {
+        let mut sums = BTreeMap::new();
+        for node in self.nodes.iter().filter(|node| node.process.is_some()) {
+            let response = http::call(node.admin, "GET", "/metrics", &[], Vec::new()).await?;
+            let text = String::from_utf8_lossy(response.body()).into_owned();
+            for line in text.lines().filter(|line| !line.starts_with('#')) {
+                let Some((name, value)) = line.rsplit_once(' ') else {
+                    continue;
+                };
+                let name = name.trim_start_matches("redwinggrade_").to_owned();
+                *sums.entry(name).or_default() += value.parse::<f64>().unwrap_or(0.0);
+            }
+        }
+        Ok(sums)
+    }
+
     /// Waits until every running node holds a permit and its cell lists all of them.
     pub async fn wait_permits(&self) -> anyhow::Result<()> {
         for number in 0..self.nodes.len() {
