Report a gained target as usable only from the moment it may be used

Cause: after the store outage a member was removed, and the gaining gateway published its targets as usable while its gate refused all work for GRACE. The local targets were preferred, and their legs failed for lack of a permit until the retry budget was used up. Change: a summary says usable only from the moment from which the target may be used.

--- a/bench/src/world.rs
+++ b/bench/src/world.rs
@@ -1232,7 +1232,8 @@
                 let silent = self.nodes[gated.node]
                     .died
                     .is_some_and(|died| self.now.since(died) >= cell::LIVE);
-                let open = gated.reachable && gated.gate.closed().is_none();
+                let valid = gated.valid_from <= self.now;
+                let open = gated.reachable && gated.gate.closed().is_none() && valid;
                 open && !silent && !self.nodes[node].out[target.data_centre]
             });
             directory::Target {
--- a/src/process/gateway.rs
+++ b/src/process/gateway.rs
@@ -957,7 +957,9 @@
             return;
         }
         let load = self.gate.load();
-        let usable = self.reachable && self.gate.closed().is_none();
+        // Before that moment an earlier owner may still dispatch, and the gate refuses all work.
+        let valid = self.owned.valid_from <= self.common.clock.now();
+        let usable = self.reachable && self.gate.closed().is_none() && valid;
         let class = Class {
             usable,
             limit: load.limit,
--- a/src/wire/scatter.rs
+++ b/src/wire/scatter.rs
@@ -70,7 +70,8 @@
     pub running: u16,
     /// Legs that may run at once now; small while the target is cold.
     pub limit: u16,
-    /// Recent time from dispatch to answer, in microseconds.
+    /// Recent time from dispatch to answer, in microseconds, or the time between starts times the
+    /// limit if starts are paced and this is longer.
     pub latency_us: u32,
 }
 
