Keep to a version while a newer one is on few targets

Change: of versions with equal coverage the newer one is chosen only if it has at least half of the usable targets of the older one.

--- a/src/request/snapshot.rs
+++ b/src/request/snapshot.rs
@@ -5,6 +5,12 @@
 use crate::version::directory::{Directory, Extent};
 use crate::wire::Version;
 
+/// A version is thin if an older one has more than this many times its usable targets.
+///
+/// A larger part would be safer for the load, but queries would stay longer with a version that
+/// targets are dropping.
+const THIN: u32 = 2;
+
 /// The version that a query is pinned to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Choice {
@@ -14,6 +20,8 @@
     pub shards: u32,
     /// Shards for which some target takes work.
     pub covered: u32,
+    /// Targets that hold a shard and take work.
+    pub usable: u32,
 }
 
 impl From<Extent> for Choice {
@@ -22,12 +30,16 @@
             version: extent.version,
             shards: extent.shards,
             covered: extent.covered,
+            usable: extent.usable,
         }
     }
 }
 
 /// Chooses the newest version that is wholly covered, else the one with the best coverage.
 ///
+/// Of versions with equal coverage, a newer one is chosen only if it has at least half of the usable
+/// targets of the older one.
+///
 /// Versions below `least` are not considered. Returns nothing if no version is known.
 pub fn choose(directory: &Directory, index: &str, least: Option<Version>) -> Option<Choice> {
     best(directory, index, |version| {
@@ -45,16 +57,29 @@
     F: Fn(Version) -> bool,
 {
     let mut best: Option<Choice> = None;
-    // Versions come in ascending order, so a tie goes to the newer one.
+    // Versions come in ascending order, so a tie goes to the newer one unless it is thin.
     for &extent in directory.versions(index) {
         let candidate = Choice::from(extent);
-        if admits(candidate.version) && best.is_none_or(|best| !covers_more(best, candidate)) {
+        if admits(candidate.version) && best.is_none_or(|best| !is_better(best, candidate)) {
             best = Some(candidate);
         }
     }
     best
 }
 
+/// Tells whether an older version stays the choice although a newer one is known.
+fn is_better(older: Choice, newer: Choice) -> bool {
+    covers_more(older, newer) || (!covers_more(newer, older) && is_thin(newer, older))
+}
+
+/// Tells whether a version has so few usable targets that they might not bear the load of all.
+///
+/// While a version rolls over the targets, each shard of it may be held by one target long before
+/// most targets hold it.
+fn is_thin(newer: Choice, older: Choice) -> bool {
+    newer.usable.saturating_mul(THIN) < older.usable
+}
+
 /// Tells whether `left` covers a larger share of its own map than `right` does.
 fn covers_more(left: Choice, right: Choice) -> bool {
     u64::from(left.covered) * u64::from(right.shards)
--- a/src/version/directory.rs
+++ b/src/version/directory.rs
@@ -67,6 +67,8 @@
     pub shards: u32,
     /// Shards for which some target takes work.
     pub covered: u32,
+    /// Targets that hold a shard and take work, counted once per shard.
+    pub usable: u32,
 }
 
 /// The shard map of one version: two arrays sorted by shard, then key.
@@ -187,24 +189,27 @@
         // If targets disagree about the size of a version, the largest counts: a size that is too
         // small would report a partial answer as complete.
         let shards = group.iter().map(|row| row.4).max().unwrap_or_default();
-        let mut covered = 0;
+        let (mut covered, mut usable) = (0, 0);
         for holders in group.chunk_by(|left, right| left.2 == right.2) {
-            let mut usable = false;
+            let mut taken = false;
             for &(_, _, shard, key, _) in holders {
-                usable |= targets[key.0 as usize].takes_work();
+                let takes_work = targets[key.0 as usize].takes_work();
+                taken |= takes_work;
                 // A target that reports the same shard with two sizes is still one replica.
                 if map.keys.last() != Some(&key) || map.shards.last() != Some(&shard) {
                     map.shards.push(shard);
                     map.keys.push(key);
+                    usable += u32::from(takes_work);
                 }
             }
-            covered += u32::from(usable);
+            covered += u32::from(taken);
         }
         let index = indexes.entry(Arc::clone(name)).or_default();
         index.extents.push(Extent {
             version,
             shards,
             covered,
+            usable,
         });
         index.maps.push(map);
     }
