--- a/src/process/gateway.rs
+++ b/src/process/gateway.rs
@@ -1017,6 +1017,7 @@
             return;
         }
         let load = self.gate.load();
+        // Before that moment an earlier owner may still dispatch, and the gate refuses all work.
         let valid = now >= self.owned.valid_from;
         let usable = valid && self.reachable && self.gate.closed().is_none();
         let class = Class {
