--- a/harness/src/fixture.rs
+++ b/harness/src/fixture.rs
@@ -65,6 +65,8 @@
 const IN_A_ROW: u32 = 12;
 /// Requests that must end while a fault lasts, so that it meets work in every state.
 const UNDER_FAULT: u64 = 60;
+/// Requests that must end between two steps of a rollout.
+const BETWEEN_STEPS: u64 = 15;
 /// The deadline of a single request of a test, far above the service times.
 const DEADLINE: Duration = Duration::from_secs(5);
 
@@ -77,6 +79,8 @@
     pub nodes: usize,
     /// Answers after which a target is warm; 0 for targets that are never cold.
     pub cold_answers: u64,
+    /// How many times as long requests run at cold targets.
+    pub cold_factor: f64,
 }
 
 impl Layout {
@@ -85,18 +89,21 @@
         data_centres: &["dc1"],
         nodes: 3,
         cold_answers: 20,
+        cold_factor: 1.0,
     };
     /// Two data centres with a cell of three nodes each.
     pub const TWO_CELLS: Self = Self {
         data_centres: &["dc1", "dc2"],
         nodes: 6,
         cold_answers: 20,
+        cold_factor: 1.0,
     };
     /// Three data centres with a cell of three nodes each.
     pub const THREE_CELLS: Self = Self {
         data_centres: &["dc1", "dc2", "dc3"],
         nodes: 9,
         cold_answers: 20,
+        cold_factor: 1.0,
     };
 }
 
@@ -229,6 +236,7 @@
             .data_centres(layout.data_centres)
             .time(time)
             .cold(layout.cold_answers, 1, 60)
+            .cold_factor(layout.cold_factor)
             .build();
         let fleet = Fleet::start(Config {
             spec,
@@ -272,6 +280,35 @@
             .await
     }
 
+    /// Rolls a version over the targets of the index that every query asks, beside the old version
+    /// first and then alone, while requests end between the steps.
+    ///
+    /// The added shards of a larger version go to the first services.
+    pub async fn roll(&self, load: &Load, version: u64, shards: u32) -> anyhow::Result<()> {
+        for beside in [true, false] {
+            for target in self.fleet.spec().targets.iter() {
+                if target.index != SEARCH.name {
+                    continue;
+                }
+                let service = target.versions[0].shard;
+                let mut held: Vec<Json> = (0..shards)
+                    .filter(|shard| shard % SEARCH.services == service)
+                    .map(|shard| json!({"version": version, "shard": shard, "shards": shards}))
+                    .collect();
+                if beside {
+                    held.push(json!(target.versions[0]));
+                }
+                let command = json!({"name": target.name, "versions": held});
+                self.fleet.target(&command).await?;
+                let ended = load.ended() + BETWEEN_STEPS;
+                self.fleet
+                    .wait("requests between steps", async || load.ended() >= ended)
+                    .await?;
+            }
+        }
+        Ok(())
+    }
+
     /// Waits until callers get only complete answers again, to every kind of request.
     pub async fn wait_complete(&mut self) -> anyhow::Result<()> {
         let caller = Caller::open(self.fleet.callers());
