--- a/harness/src/fixture.rs
+++ b/harness/src/fixture.rs
@@ -1,6 +1,7 @@
 //! Small installations for tests of faults: few nodes and targets, settings that match them, and
 //! checks that end a test with everything that the journal shows against a promise.
 
+use std::collections::HashSet;
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -362,6 +363,18 @@
         Ok(journal.iter().filter(of).count())
     }
 
+    /// Returns how many targets of an index run work, as the journal shows.
+    pub async fn running(&self, index: &str) -> anyhow::Result<usize> {
+        let journal = self.fleet.journal().await?;
+        let busy: HashSet<&str> = journal
+            .iter()
+            .filter(|entry| entry.started && entry.ended_ms.is_none())
+            .map(|entry| &*entry.target)
+            .filter(|target| target.starts_with(index))
+            .collect();
+        Ok(busy.len())
+    }
+
     /// Waits until the journal shows that a request started, and returns the target.
     pub async fn wait_start(&self, id: &str) -> anyhow::Result<String> {
         let mut target = None;
