--- a/harness/src/fleet.rs
+++ b/harness/src/fleet.rs
@@ -6,6 +6,8 @@
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, bail};
+use base64::Engine;
+use base64::prelude::BASE64_STANDARD as BASE64;
 use serde_json::{Value as Json, json};
 use standins::http;
 use standins::process::{Process, Signal};
@@ -146,7 +148,7 @@
         let threads = self.config.threads.to_string();
         let arguments = ["--threads", &threads, text(&path)?];
         let program = self.binaries.join("redwinggrade-node");
-        let process = Process::start(&program, &arguments, "listening ")?;
+        let process = Process::start_logged(&program, &arguments, "listening ")?;
         let announced = process.announced();
         node.caller = field(announced, "caller=")?;
         node.admin = field(announced, "admin=")?;
@@ -175,6 +177,12 @@
         Ok(())
     }
 
+    /// Returns what a running node has logged.
+    pub fn log(&self, number: usize) -> Vec<String> {
+        let process = self.nodes[number].process.as_ref();
+        process.map_or_else(Vec::new, Process::log)
+    }
+
     /// Sends a signal to a node.
     pub fn signal(&mut self, number: usize, signal: Signal) -> anyhow::Result<()> {
         let node = &mut self.nodes[number];
@@ -317,6 +325,18 @@
         Ok(())
     }
 
+    /// Writes a value into the store, as an operator without the client would.
+    pub async fn store_put(&self, key: &str, value: &[u8]) -> anyhow::Result<()> {
+        let write = json!({"key": BASE64.encode(key), "value": BASE64.encode(value)});
+        http::call_json(self.store, "POST", "/v3/kv/put", &write).await?;
+        Ok(())
+    }
+
+    /// Returns the store stand-in's journal of successful writes.
+    pub async fn store_journal(&self) -> anyhow::Result<Json> {
+        http::call_json(self.store, "GET", "/admin/journal", &Json::Null).await
+    }
+
     /// Sets the faults of the store stand-in.
     pub async fn store_faults(&self, faults: &Json) -> anyhow::Result<()> {
         http::call_json(self.store, "POST", "/admin/faults", faults).await?;
--- /dev/null
+++ b/harness/tests/settings.rs
@@ -0,0 +1,368 @@
+//! P4 and P10: operators' changes under faults and load.
+//!
+//! What an exit code says must hold: 0 means in force at every node, 4 and 1 mean nothing changed.
+
+use std::process::Output;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use anyhow::{Context, ensure};
+use redwinggrade_demo::fixture::{Fixture, Layout};
+use redwinggrade_demo::fleet::Fleet;
+use rstest::rstest;
+use serde_json::{Value as Json, json};
+use standins::http;
+use standins::process::Signal;
+
+/// The time after acceptance within which work at what was taken out must end (docs/design.md, P4).
+const LEAVE_LIMIT: Duration = Duration::from_secs(2);
+/// Exit codes of the operators' client.
+const ACCEPTED: Option<i32> = Some(0);
+const ERROR: Option<i32> = Some(1);
+const CONFLICT: Option<i32> = Some(4);
+const UNKNOWN: Option<i32> = Some(5);
+
+/// Applies the settings with one value changed.
+fn apply(it: &Fixture, limit: u32, base: u64, name: &str) -> anyhow::Result<Output> {
+    let file = it.write(name, |settings| {
+        settings["defaults"]["limit"] = json!(limit)
+    })?;
+    let file = file.to_str().context("the path is not text")?;
+    let base = base.to_string();
+    let arguments = ["apply", file, "--base", &base, "--timeout", "20"];
+    it.fleet.operate(&arguments)
+}
+
+fn said(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned() + &String::from_utf8_lossy(&output.stderr)
+}
+
+/// Returns the versions that the store stand-in's journal shows as written to the log.
+async fn logged(fleet: &Fleet) -> anyhow::Result<usize> {
+    let journal = fleet.store_journal().await?;
+    let writes = journal["writes"].as_array().context("a list")?;
+    let puts = writes.iter().flat_map(|it| it["puts"].as_array());
+    let keys = puts.flatten().filter_map(Json::as_str);
+    Ok(keys.filter(|key| key.starts_with("settings/log/")).count())
+}
+
+async fn versions(fleet: &Fleet) -> anyhow::Result<Vec<u64>> {
+    let mut versions = Vec::new();
+    for number in 0..fleet.nodes.len() {
+        let status = fleet.status(number).await?;
+        versions.push(status["settings_version"].as_u64().unwrap_or(0));
+    }
+    Ok(versions)
+}
+
+fn unix_ms() -> anyhow::Result<u64> {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH)?;
+    Ok(u64::try_from(now.as_millis())?)
+}
+
+/// Returns the wall-clock times of the starts at targets that `at` selects, by the targets' journal.
+async fn starts<F>(fleet: &Fleet, at: F) -> anyhow::Result<Vec<u64>>
+where
+    F: Fn(&standins::target::Entry) -> bool,
+{
+    let origin = fleet.verdict().await?.started_unix_ms;
+    let journal = fleet.journal().await?;
+    let entries = journal.iter().filter(|entry| at(entry));
+    let starts = entries.filter_map(|entry| entry.started_ms);
+    Ok(starts.map(|ms| origin + ms).collect())
+}
+
+/// P10: when `apply` ends with 0, every node has the version; a write whose answer the store lost is
+/// neither reported as failed nor made twice.
+#[rstest]
+#[case::without_a_fault(json!({}))]
+#[case::store_answer_lost(json!({"lose_answers": 1}))]
+#[case::store_slow(json!({"delay_ms": 300}))]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_accepted_change_is_in_force_everywhere(#[case] fault: Json) -> anyhow::Result<()> {
+    let mut it = Fixture::start(Layout::TWO_CELLS).await?;
+    let load = it.load();
+    it.meet(&load).await?;
+    it.fleet.store_faults(&fault).await?;
+    let output = apply(&it, 99, 1, "change.yaml")?;
+    let versions = versions(&it.fleet).await?;
+    ensure!(output.status.code() == ACCEPTED, "{}", said(&output));
+    assert_eq!(versions, [2; 6], "accepted, but not in force everywhere");
+    assert_eq!(
+        logged(&it.fleet).await?,
+        2,
+        "the change was not stored once"
+    );
+    it.meet(&load).await?;
+    it.wait_complete().await?;
+    it.check(load.finish().await?).await?;
+    Ok(())
+}
+
+/// P4: what operators take out gets no new work 2 s after acceptance, and works again once it is in.
+#[rstest]
+#[case::data_centre("data-centre", "dc2")]
+#[case::target("instance", "search-s00-0")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn work_ends_where_operators_take_out(
+    #[case] command: &str,
+    #[case] name: &str,
+) -> anyhow::Result<()> {
+    let mut it = Fixture::start(Layout::TWO_CELLS).await?;
+    let there =
+        |entry: &standins::target::Entry| &*entry.data_centre == name || &*entry.target == name;
+    let load = it.load();
+    it.meet(&load).await?;
+    ensure!(
+        !starts(&it.fleet, there).await?.is_empty(),
+        "no work to end"
+    );
+    it.fleet.accepted(&[command, "out", name])?;
+    let out = unix_ms()?;
+    let until = load.elapsed() + LEAVE_LIMIT * 2;
+    it.fleet
+        .wait("load past the limit", async || load.elapsed() >= until)
+        .await?;
+    it.meet(&load).await?;
+    let last = starts(&it.fleet, there)
+        .await?
+        .into_iter()
+        .max()
+        .unwrap_or(0);
+    let late = last.saturating_sub(out);
+    ensure!(
+        u128::from(late) <= LEAVE_LIMIT.as_millis(),
+        "work started at {name} {late} ms after it was out"
+    );
+    it.fleet.accepted(&[command, "in", name])?;
+    let back = unix_ms()?;
+    it.fleet
+        .wait("work where operators brought back", async || {
+            let starts = starts(&it.fleet, there).await.unwrap_or_default();
+            starts.iter().any(|at| *at >= back)
+        })
+        .await?;
+    it.wait_complete().await?;
+    it.check(load.finish().await?).await?;
+    Ok(())
+}
+
+/// P4: callers are no longer sent to a node that operators take out.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn callers_are_sent_away_from_a_node_that_is_out() -> anyhow::Result<()> {
+    let it = Fixture::start(Layout::CELL).await?;
+    let out = json!(it.fleet.nodes[1].caller.to_string());
+    it.fleet.accepted(&["instance", "out", "node-2"])?;
+    for node in &it.fleet.nodes {
+        let list = http::call_json(node.caller, "GET", "/v1/addresses", &Json::Null).await?;
+        let addresses = list["addresses"].as_array().context("a list")?;
+        ensure!(!addresses.contains(&out), "{} names it", node.name);
+    }
+    it.fleet.accepted(&["instance", "in", "node-2"])?;
+    let list = http::call_json(
+        it.fleet.nodes[0].caller,
+        "GET",
+        "/v1/addresses",
+        &Json::Null,
+    );
+    let list = list.await?;
+    let addresses = list["addresses"].as_array().context("a list")?;
+    ensure!(addresses.contains(&out), "node-2 is back, but {list}");
+    Ok(())
+}
+
+/// P10: of two changes from one version, one is accepted and the other is told of the conflict.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn two_operators_race() -> anyhow::Result<()> {
+    let it = Fixture::start(Layout::CELL).await?;
+    let limits = [41, 42];
+    let outputs = std::thread::scope(|scope| {
+        let threads = limits.map(|limit| {
+            let it = &it;
+            scope.spawn(move || apply(it, limit, 1, &format!("{limit}.yaml")))
+        });
+        threads.map(|thread| thread.join().expect("the operator does not panic"))
+    });
+    let [first, second] = outputs;
+    let (first, second) = (first?, second?);
+    let codes = [first.status.code(), second.status.code()];
+    let winner = codes.iter().position(|code| *code == ACCEPTED);
+    let winner = winner.with_context(|| format!("none is accepted: {codes:?}"))?;
+    ensure!(
+        codes[1 - winner] == CONFLICT,
+        "{codes:?}: {} {}",
+        said(&first),
+        said(&second)
+    );
+    let shown = said(&it.fleet.operate(&["show"])?);
+    let (won, lost) = (limits[winner], limits[1 - winner]);
+    ensure!(shown.contains(&format!("limit: {won}")), "{shown}");
+    ensure!(!shown.contains(&format!("limit: {lost}")), "{shown}");
+    assert_eq!(logged(&it.fleet).await?, 2);
+    assert_eq!(versions(&it.fleet).await?, [2; 3]);
+    Ok(())
+}
+
+/// P10: while the store is down nothing is accepted, and what the client says holds afterwards.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_store_is_down_during_a_change() -> anyhow::Result<()> {
+    let mut it = Fixture::start(Layout::CELL).await?;
+    let load = it.load();
+    it.meet(&load).await?;
+    it.fleet.store_faults(&json!({"down": true})).await?;
+    let output = apply(&it, 77, 1, "down.yaml")?;
+    let code = output.status.code();
+    ensure!(
+        code == ERROR || code == UNKNOWN,
+        "{code:?} {}",
+        said(&output)
+    );
+    it.meet(&load).await?;
+    assert_eq!(versions(&it.fleet).await?, [1; 3]);
+    it.fleet.store_faults(&json!({"down": false})).await?;
+    it.meet(&load).await?;
+    if code == ERROR {
+        assert_eq!(
+            logged(&it.fleet).await?,
+            1,
+            "\"nothing was changed\" is untrue"
+        );
+    }
+    // The same change is accepted now, from the same base.
+    let output = apply(&it, 77, 1, "down.yaml")?;
+    ensure!(output.status.code() == ACCEPTED, "{}", said(&output));
+    assert_eq!(versions(&it.fleet).await?, [2; 3]);
+    it.wait_complete().await?;
+    it.check(load.finish().await?).await?;
+    Ok(())
+}
+
+/// P10: a change that takes out a target is accepted while the target's gateway is frozen, because its
+/// permit has ended; after it thaws it must not start work there from the old version.
+///
+/// The gateway is frozen before any load runs, so that no request is between its check and its write.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_node_is_frozen_during_a_change() -> anyhow::Result<()> {
+    let mut it = Fixture::start(Layout::CELL).await?;
+    let target = "search-s00-0";
+    let frozen = it.gateway(target).context("the target has a gateway")?;
+    it.fleet.signal(frozen, Signal::Stop)?;
+    let load = it.load();
+    it.fleet.accepted(&["instance", "out", target])?;
+    let accepted = unix_ms()?;
+    it.meet(&load).await?;
+    it.fleet.signal(frozen, Signal::Continue)?;
+    it.meet(&load).await?;
+    it.fleet.wait_members("dc1-0", 3).await?;
+    it.fleet.wait_permits().await?;
+    it.meet(&load).await?;
+    let late = starts(&it.fleet, |entry| &*entry.target == target).await?;
+    let late: Vec<_> = late.into_iter().filter(|at| *at > accepted).collect();
+    ensure!(late.is_empty(), "{} starts after acceptance", late.len());
+    it.wait_complete().await?;
+    it.check(load.finish().await?).await?;
+    Ok(())
+}
+
+/// P10: no run of a node reports an older version than before, and none holds a permit for a version
+/// older than an accepted one, while changes follow each other and a node is replaced.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn no_node_goes_back_to_an_older_version() -> anyhow::Result<()> {
+    let mut it = Fixture::start(Layout::CELL).await?;
+    let accepted = Arc::new(AtomicU64::new(1));
+    let done = Arc::new(AtomicBool::new(false));
+    let watchers: Vec<_> = it
+        .fleet
+        .nodes
+        .iter()
+        .map(|node| tokio::spawn(watch(node.admin, Arc::clone(&accepted), Arc::clone(&done))))
+        .collect();
+    for version in 1..=5_u64 {
+        if version == 2 {
+            it.fleet.kill(2)?;
+        }
+        let output = apply(&it, 50 + u32::try_from(version)?, version, "next.yaml")?;
+        ensure!(output.status.code() == ACCEPTED, "{}", said(&output));
+        accepted.store(version + 1, Ordering::Release);
+        if version == 3 {
+            it.fleet.restart(2)?;
+        }
+    }
+    it.fleet.wait_permits().await?;
+    assert_eq!(versions(&it.fleet).await?, [6; 3]);
+    done.store(true, Ordering::Release);
+    for watcher in watchers {
+        ensure!(watcher.await?? > 0, "a node was never observed");
+    }
+    it.wait_complete().await
+}
+
+async fn watch(
+    admin: std::net::SocketAddr,
+    accepted: Arc<AtomicU64>,
+    done: Arc<AtomicBool>,
+) -> anyhow::Result<u64> {
+    let mut last = (0, 0);
+    let mut seen = 0;
+    while !done.load(Ordering::Acquire) {
+        // The version must be at least the one that was accepted before the question was sent.
+        let least = accepted.load(Ordering::Acquire);
+        let Ok(status) = http::call_json(admin, "GET", "/admin/status", &Json::Null).await else {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+            continue;
+        };
+        let number = |field: &str| status[field].as_u64().unwrap_or(0);
+        let now = (number("incarnation"), number("settings_version"));
+        ensure!(
+            now.0 != last.0 || now.1 >= last.1,
+            "the version went back from {} to {}",
+            last.1,
+            now.1
+        );
+        ensure!(
+            status["permit"] != json!(true) || now.1 >= least,
+            "a permit at version {} after {least} was accepted",
+            now.1
+        );
+        last = now;
+        seen += 1;
+    }
+    Ok(seen)
+}
+
+/// P10: a damaged value leaves the last good version in force, and the node's log says so.
+#[rstest]
+#[case::head_overwritten(None)]
+#[case::values_truncated(Some(json!({"truncate_values": true})))]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_value_in_the_store_is_damaged(#[case] fault: Option<Json>) -> anyhow::Result<()> {
+    let mut it = Fixture::start(Layout::CELL).await?;
+    let load = it.load();
+    it.meet(&load).await?;
+    match &fault {
+        Some(fault) => it.fleet.store_faults(fault).await?,
+        None => {
+            it.fleet
+                .store_put("settings/head", b"{\"version\": ")
+                .await?
+        }
+    }
+    it.fleet
+        .wait("a log line on the damaged value", async || {
+            let mut nodes = 0..it.fleet.nodes.len();
+            nodes.any(|node| {
+                it.fleet
+                    .log(node)
+                    .iter()
+                    .any(|line| line.contains("cannot be used"))
+            })
+        })
+        .await?;
+    it.meet(&load).await?;
+    it.meet(&load).await?;
+    assert_eq!(versions(&it.fleet).await?, [1; 3]);
+    it.wait_complete().await?;
+    it.check(load.finish().await?).await?;
+    Ok(())
+}
--- a/standins/src/process.rs
+++ b/standins/src/process.rs
@@ -1,9 +1,9 @@
 //! Processes that tests start, signal and end by their id.
 
 use std::ffi::OsStr;
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Read};
 use std::path::{Path, PathBuf};
-use std::process::{Child, ChildStdout, Command, ExitStatus, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -52,6 +52,7 @@
     name: String,
     child: Child,
     reader: Arc<Reader>,
+    errors: Option<Arc<Reader>>,
     announced: String,
 }
 
@@ -80,8 +81,25 @@
         Ok(process)
     }
 
+    /// Starts a program like `start`, and keeps what it writes to standard error beside passing it on.
+    pub fn start_logged<A>(program: &Path, arguments: &[A], prefix: &str) -> anyhow::Result<Self>
+    where
+        A: AsRef<OsStr>,
+    {
+        let mut process = Self::launch(program, arguments, Stdio::piped())?;
+        process.announced = process.wait_line(prefix)?;
+        Ok(process)
+    }
+
     /// Starts a program without waiting for any output.
     pub fn spawn<A>(program: &Path, arguments: &[A]) -> anyhow::Result<Self>
+    where
+        A: AsRef<OsStr>,
+    {
+        Self::launch(program, arguments, Stdio::inherit())
+    }
+
+    fn launch<A>(program: &Path, arguments: &[A], errors: Stdio) -> anyhow::Result<Self>
     where
         A: AsRef<OsStr>,
     {
@@ -90,18 +108,17 @@
             .args(arguments)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
+            .stderr(errors)
             .spawn()
             .with_context(|| format!("cannot start {name}"))?;
         let stdout = child.stdout.take().expect("the output is piped");
-        let reader = Arc::new(Reader::default());
-        std::thread::spawn({
-            let reader = Arc::clone(&reader);
-            move || reader.read(stdout)
-        });
+        let reader = Reader::spawn(stdout, false);
+        let errors = child.stderr.take().map(|errors| Reader::spawn(errors, true));
         Ok(Self {
             name,
             child,
             reader,
+            errors,
             announced: String::new(),
         })
     }
@@ -121,6 +138,12 @@
         self.reader.output().lines.clone()
     }
 
+    /// Returns the lines on standard error so far; none unless the process was started with a log.
+    pub fn log(&self) -> Vec<String> {
+        let errors = self.errors.as_ref();
+        errors.map_or_else(Vec::new, |errors| errors.output().lines.clone())
+    }
+
     /// Waits for the first line that begins with `prefix` and returns the rest of it.
     pub fn wait_line(&self, prefix: &str) -> anyhow::Result<String> {
         let deadline = Instant::now() + LONG;
@@ -212,13 +235,31 @@
 }
 
 impl Reader {
+    fn spawn<R>(source: R, pass_on: bool) -> Arc<Self>
+    where
+        R: Read + Send + 'static,
+    {
+        let reader = Arc::new(Self::default());
+        std::thread::spawn({
+            let reader = Arc::clone(&reader);
+            move || reader.read(source, pass_on)
+        });
+        reader
+    }
+
     fn output(&self) -> MutexGuard<'_, Output> {
         self.output.lock().expect("no holder of this lock panics")
     }
 
-    fn read(&self, stdout: ChildStdout) {
-        for line in BufReader::new(stdout).lines() {
+    fn read<R>(&self, source: R, pass_on: bool)
+    where
+        R: Read,
+    {
+        for line in BufReader::new(source).lines() {
             let Ok(line) = line else { break };
+            if pass_on {
+                eprintln!("{line}");
+            }
             let mut output = self.output();
             if output.lines.len() < LINES {
                 output.lines.push(line);
