Settle a swap only by a read that started after it, and test acceptance after a removal

A read that was under way while a swap ended showed the record before it, which cost a second swap that could only conflict. Report fields move to the end of the message, because its encoding is positional.

--- a/src/process/cell.rs
+++ b/src/process/cell.rs
@@ -319,8 +319,8 @@
     read_failures: u32,
     next_read: Moment,
     swap: Option<Swap>,
-    /// The outcome of a swap is unknown until the next read.
-    unsettled: bool,
+    /// A swap ended at this moment; only a read that started later shows the record after it.
+    unsettled: Option<Moment>,
     conflicts: u32,
     next_swap: Moment,
     next_exchange: Moment,
@@ -353,7 +353,7 @@
             read_failures: 0,
             next_read: now,
             swap: None,
-            unsettled: false,
+            unsettled: None,
             conflicts: 0,
             next_swap: now,
             next_exchange: now,
@@ -541,7 +541,8 @@
             *started = map(*started, PERMIT);
         }
         let swap = self.swap.iter_mut().map(|swap| &mut swap.started);
-        for started in self.reading.iter_mut().chain(swap) {
+        let unsettled = self.unsettled.iter_mut();
+        for started in self.reading.iter_mut().chain(swap).chain(unsettled) {
             *started = map(*started, CALL_LIMIT);
         }
         for peer in self.peers.values_mut() {
@@ -599,11 +600,16 @@
         };
         self.read_failures = 0;
         self.settings_head = self.settings_head.max(heads.settings);
+        let settles = self.unsettled.is_none_or(|ended| started >= ended);
+        if settles {
+            self.unsettled = None;
+        } else {
+            self.next_read = now;
+        }
         let Some((record, mod_revision)) = heads.record else {
             // A record that vanished is not created again by nodes that knew it, because its
             // revisions would go back.
-            self.absent = self.record.is_none();
-            self.unsettled = false;
+            self.absent = settles && self.record.is_none();
             return;
         };
         self.absent = false;
@@ -612,9 +618,8 @@
             cell: record.revision,
         };
         self.adopt(record, now);
-        if self.revision().cell == revision.cell {
+        if settles && self.revision().cell == revision.cell {
             self.mod_revision = Some(mod_revision);
-            self.unsettled = false;
         }
         self.prove(revision, started, now);
     }
@@ -632,7 +637,7 @@
             }
         }
         debug_assert!(swap.started <= now, "a swap ends after it started");
-        self.unsettled = true;
+        self.unsettled = Some(now);
         self.mod_revision = None;
         self.next_read = now;
     }
@@ -878,7 +883,7 @@
             return actions;
         }
         if self.swap.is_none()
-            && !self.unsettled
+            && self.unsettled.is_none()
             && let Some((due, record)) = self.proposal(now)
             && now >= due
         {
@@ -933,7 +938,7 @@
     }
 
     fn wants_read(&self, now: Moment) -> bool {
-        self.unsettled
+        self.unsettled.is_some()
             || self.record.is_none()
             || self.first_live(now)
             || now.since(self.proof_learned) >= PROOF_WAIT
--- a/src/wire/exchange.rs
+++ b/src/wire/exchange.rs
@@ -63,6 +63,12 @@
     pub record: Option<Record>,
     /// Whether the receiver is stopping and wants no new work.
     pub stopping: bool,
+    /// Targets that the receiver owns and that changed since the mark.
+    pub targets: Vec<Summary>,
+    /// The receiver's mark after `targets`.
+    pub mark: u64,
+    /// For `status`: the members of the receiver's cell with the revision that each last reported.
+    pub seen: Vec<Seen>,
     /// Whether this incarnation of the receiver dispatches nothing to targets any more, so that the
     /// members that gain its targets need not wait for its permit to expire.
     #[serde(default)]
@@ -71,12 +77,6 @@
     /// node removed before can still hold a permit. Acceptance by all members relies on it.
     #[serde(default)]
     pub settled: bool,
-    /// Targets that the receiver owns and that changed since the mark.
-    pub targets: Vec<Summary>,
-    /// The receiver's mark after `targets`.
-    pub mark: u64,
-    /// For `status`: the members of the receiver's cell with the revision that each last reported.
-    pub seen: Vec<Seen>,
 }
 
 /// The revision that a member was last heard at.
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -89,17 +89,7 @@
     let mut world = three();
     if during_ballot {
         world.event(2, Event::Stopping);
-        while world
-            .store
-            .record
-            .as_ref()
-            .expect("it exists")
-            .0
-            .ballot
-            .is_none()
-        {
-            world.deliver();
-        }
+        world.until(STEP, World::ballot_open);
     }
     for node in 0..3 {
         world.crash(node);
@@ -410,14 +400,9 @@
     let mut world = World::open(&[1_000], rules);
     world.start(0);
     world.nodes[0].settings_limit = 1;
-    while !matches!(world.queue.front(), Some(Message::Swap { .. })) {
-        if world.queue.is_empty() {
-            world.tick(0);
-            world.advance(STEP);
-        } else {
-            world.deliver();
-        }
-    }
+    world.until(STEP, |world| {
+        matches!(world.queue.front(), Some(Message::Swap { .. }))
+    });
     world.store.settings = 2;
     world.check();
     assert_eq!(world.accepted, 2);
@@ -438,3 +423,34 @@
         ..Rules::default()
     });
 }
+
+/// A member that was removed just before a write may still hold a store proof of the version before.
+fn write_after_removal(settled: bool) {
+    let mut world = three();
+    world.untracked.settled = settled;
+    world.isolate(2, true);
+    let members = |world: &World| {
+        world
+            .store
+            .record
+            .as_ref()
+            .map(|(record, _)| record.members.len())
+    };
+    world.until(STEP, |world| members(world) == Some(2));
+    world.nodes[2].store_cut = true;
+    assert_ne!(world.dispatches(2), 0);
+    world.store.settings = 2;
+    world.run(80, STEP);
+    assert_eq!(world.accepted, 2);
+}
+
+#[test]
+fn acceptance_waits_for_a_removed_member() {
+    write_after_removal(true);
+}
+
+#[test]
+#[should_panic(expected = "outdated settings")]
+fn acceptance_by_all_members_without_a_settled_list_is_too_early() {
+    write_after_removal(false);
+}
--- a/tests/cell_enumeration.rs
+++ b/tests/cell_enumeration.rs
@@ -556,22 +556,7 @@
 /// Returns a cell of one node that does not answer while two others join.
 fn joining_unanswered(rules: Rules) -> World {
     let mut world = joining(&[SLOW, FAST, FAST], 1, rules);
-    let ballot = |world: &World| {
-        world
-            .store
-            .record
-            .as_ref()
-            .is_some_and(|(record, _)| record.ballot.is_some())
-    };
-    while !ballot(&world) {
-        if !world.queue.is_empty() {
-            world.deliver();
-        } else if let Some(node) = (0..3).find(|node| !world.nodes[*node].woken) {
-            world.tick(node);
-        } else {
-            world.advance(STEP);
-        }
-    }
+    world.until(STEP, World::ballot_open);
     world.isolate(0, true);
     world.nodes[0].store_cut = true;
     world.run(3, STEP);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -194,6 +194,7 @@
                 swaps: 0,
                 reads: 0,
                 checked: true,
+                settled: true,
             },
         }
     }
@@ -532,6 +533,33 @@
         self.advance(step);
     }
 
+    /// Returns whether the store's record has a ballot.
+    pub fn ballot_open(&self) -> bool {
+        let record = self.store.record.as_ref();
+        record.is_some_and(|(record, _)| record.ballot.is_some())
+    }
+
+    /// Goes on until a condition holds, which is checked after each message.
+    pub fn until<Holds>(&mut self, step: Duration, holds: Holds)
+    where
+        Holds: Fn(&Self) -> bool,
+    {
+        for _ in 0..100_000 {
+            if holds(self) {
+                return;
+            }
+            if !self.queue.is_empty() {
+                self.deliver();
+            } else if let Some(node) = self.nodes.iter().position(|node| !node.woken) {
+                self.tick(node);
+            } else {
+                self.advance(step);
+            }
+            self.check();
+        }
+        panic!("the condition never holds: {self:#?}");
+    }
+
     pub fn settle(&mut self) {
         while !self.queue.is_empty() {
             self.deliver();
@@ -634,7 +662,7 @@
             self.majority_for.get_or_insert(Duration::ZERO);
         }
         let grace = redwinggrade::process::cell::GRACE;
-        if (at == members.len() && (settled || members.is_empty()))
+        if (at == members.len() && (settled || members.is_empty() || !self.untracked.settled))
             || self.majority_for.is_some_and(|elapsed| elapsed >= grace)
         {
             self.accepted = version;
@@ -728,6 +756,8 @@
     pub reads: u32,
     /// Whether each delivery is followed by a check of the promises.
     pub checked: bool,
+    /// Whether acceptance by all members needs one that has known the list for `GRACE`.
+    pub settled: bool,
 }
 
 impl Hash for Untracked {
