--- a/src/process/cell.rs
+++ b/src/process/cell.rs
@@ -119,7 +119,8 @@
 pub struct Heads {
     /// The version in `settings/head`.
     pub settings: u64,
-    /// The record of the cell with the store's modification revision, if it exists.
+    /// The present record of the cell with the store's modification revision, or nothing if the store
+    /// has none. A read that asks only for newer records repeats the last one here.
     pub record: Option<(Record, u64)>,
 }
 
--- a/tests/cell_enumeration.rs
+++ b/tests/cell_enumeration.rs
@@ -3,7 +3,8 @@
 //!
 //! Time advances in steps of 500 ms, in which every running node acts once. Messages are delivered in
 //! the order of sending unless a fault holds them back. A complete enumeration of all faults together
-//! is too large, so each test enumerates completely the states under one pair of faults.
+//! is too large, so each test enumerates completely the states under one fault or one pair of faults,
+//! up to two changes of the record (three where two nodes join).
 //!
 //! While a swap or a ballot is under way or a node is about to learn of a newer record, nodes act in
 //! any order, a fault may begin before any message, and a lasting fault may end between any two turns.
@@ -357,14 +358,6 @@
                     }
                 }
             }
-            if std::env::var("LEVELS").is_ok() {
-                eprintln!(
-                    "level {} seen {} fair {}",
-                    next.len(),
-                    seen.len(),
-                    fair.len()
-                );
-            }
             level = next;
         }
         Outcome {
