--- a/src/process/cell.rs
+++ b/src/process/cell.rs
@@ -119,7 +119,8 @@
 pub struct Heads {
     /// The version in `settings/head`.
     pub settings: u64,
-    /// The record of the cell with the store's modification revision, if it exists.
+    /// The present record of the cell with the store's modification revision, or nothing if the store
+    /// has none. A read that asks only for newer records repeats the last one here.
     pub record: Option<(Record, u64)>,
 }
 
@@ -196,6 +197,9 @@
         exchange: Exchange,
     },
     /// The record or the basis of ownership changed.
+    ///
+    /// It must take effect at the gates before the next [`Cell::report`], because a report of the new
+    /// revision tells the gaining owners that this node no longer dispatches to their targets.
     Changed,
 }
 
@@ -204,6 +208,8 @@
 pub struct Listed {
     /// The members.
     pub members: Vec<Member>,
+    /// The revision of the first record that the node saw with this current list.
+    pub revision: u64,
     /// When the node first saw a record with this current list.
     pub since: Moment,
 }
@@ -219,6 +225,8 @@
     pub proposed: Option<Vec<Member>>,
     /// Incarnations that dispatch nothing any more.
     pub ended: BTreeSet<(String, Incarnation)>,
+    /// The newest record revision that each peer reported.
+    pub seen: Vec<(Member, u64)>,
     rules: Rules,
 }
 
@@ -246,10 +254,8 @@
         // Owners under still earlier lists are covered by the wait that the list before imposes.
         let since = match earlier {
             Some(list)
-                if owner(&list.members).is_none_or(|previous| {
-                    self.ended
-                        .contains(&(previous.name.clone(), previous.incarnation))
-                }) =>
+                if owner(&list.members)
+                    .is_none_or(|previous| self.released(previous, gained.revision)) =>
             {
                 list.since
             }
@@ -257,6 +263,13 @@
         };
         Some(since + GRACE)
     }
+
+    /// Returns whether a former owner ended, or has seen the record under which it owns the target no more.
+    fn released(&self, previous: &Member, revision: u64) -> bool {
+        let knows = |(peer, seen): &(Member, u64)| peer == previous && *seen >= revision;
+        let ended = (previous.name.clone(), previous.incarnation);
+        self.ended.contains(&ended) || self.seen.iter().any(knows)
+    }
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -319,8 +332,8 @@
     read_failures: u32,
     next_read: Moment,
     swap: Option<Swap>,
-    /// The outcome of a swap is unknown until the next read.
-    unsettled: bool,
+    /// A swap ended at this moment; only a read that started later shows the record after it.
+    unsettled: Option<Moment>,
     conflicts: u32,
     next_swap: Moment,
     next_exchange: Moment,
@@ -353,7 +366,7 @@
             read_failures: 0,
             next_read: now,
             swap: None,
-            unsettled: false,
+            unsettled: None,
             conflicts: 0,
             next_swap: now,
             next_exchange: now,
@@ -444,6 +457,11 @@
                 .filter(|_| self.config.rules.both_lists)
                 .map(|ballot| ballot.members.clone()),
             ended: self.ended.clone(),
+            seen: self
+                .peers
+                .values()
+                .map(|peer| (peer.member.clone(), peer.seen.cell))
+                .collect(),
             rules: self.config.rules,
         }
     }
@@ -541,7 +559,8 @@
             *started = map(*started, PERMIT);
         }
         let swap = self.swap.iter_mut().map(|swap| &mut swap.started);
-        for started in self.reading.iter_mut().chain(swap) {
+        let unsettled = self.unsettled.iter_mut();
+        for started in self.reading.iter_mut().chain(swap).chain(unsettled) {
             *started = map(*started, CALL_LIMIT);
         }
         for peer in self.peers.values_mut() {
@@ -599,11 +618,16 @@
         };
         self.read_failures = 0;
         self.settings_head = self.settings_head.max(heads.settings);
+        let settles = self.unsettled.is_none_or(|ended| started >= ended);
+        if settles {
+            self.unsettled = None;
+        } else {
+            self.next_read = now;
+        }
         let Some((record, mod_revision)) = heads.record else {
             // A record that vanished is not created again by nodes that knew it, because its
             // revisions would go back.
-            self.absent = self.record.is_none();
-            self.unsettled = false;
+            self.absent = settles && self.record.is_none();
             return;
         };
         self.absent = false;
@@ -612,9 +636,8 @@
             cell: record.revision,
         };
         self.adopt(record, now);
-        if self.revision().cell == revision.cell {
+        if settles && self.revision().cell == revision.cell {
             self.mod_revision = Some(mod_revision);
-            self.unsettled = false;
         }
         self.prove(revision, started, now);
     }
@@ -632,7 +655,7 @@
             }
         }
         debug_assert!(swap.started <= now, "a swap ends after it started");
-        self.unsettled = true;
+        self.unsettled = Some(now);
         self.mod_revision = None;
         self.next_read = now;
     }
@@ -653,15 +676,27 @@
         peer.unanswered = 0;
         peer.heard = peer.heard.max(counted);
         peer.stopping |= report.stopping;
-        peer.see(report.revision, now);
+        let advanced = peer.see(report.revision, now);
         keep_newest(&mut peer.supports, report.revision, counted);
-        if report.released {
-            self.ended
+        let ended = report.released
+            && self
+                .ended
                 .insert((report.from.name, report.from.incarnation));
-        }
+        self.changed |= self.lists.len() > 1 && (advanced || ended);
         if let Some(record) = report.record {
             self.adopt(record, now);
         }
+        let same_list = report.revision.cell == self.revision().cell;
+        if let Some(list) = self
+            .lists
+            .last_mut()
+            .filter(|_| report.settled && same_list)
+        {
+            // GRACE has passed at the peer, so every permit under an earlier list has expired.
+            let settled = list.since.min(now - GRACE);
+            self.changed |= settled != list.since;
+            list.since = settled;
+        }
         if let Some(age) = report.proof_age_us {
             self.prove(report.revision, counted - Duration::from_micros(age), now);
         }
@@ -674,7 +709,8 @@
         }
         let newer = exchange.revision.cell > self.revision().cell;
         if let Some(peer) = self.meet(&exchange.from, now) {
-            peer.see(exchange.revision, now);
+            let advanced = peer.see(exchange.revision, now);
+            self.changed |= self.lists.len() > 1 && advanced;
             if newer {
                 self.ask.insert(exchange.from.name.clone());
             }
@@ -758,6 +794,7 @@
         {
             self.lists.push(Listed {
                 members: record.members.clone(),
+                revision: record.revision,
                 since: now,
             });
         }
@@ -878,7 +915,7 @@
             return actions;
         }
         if self.swap.is_none()
-            && !self.unsettled
+            && self.unsettled.is_none()
             && let Some((due, record)) = self.proposal(now)
             && now >= due
         {
@@ -933,7 +970,7 @@
     }
 
     fn wants_read(&self, now: Moment) -> bool {
-        self.unsettled
+        self.unsettled.is_some()
             || self.record.is_none()
             || self.first_live(now)
             || now.since(self.proof_learned) >= PROOF_WAIT
@@ -1108,10 +1145,13 @@
 }
 
 impl Peer {
-    fn see(&mut self, revision: Revision, now: Moment) {
+    /// Notes a reported revision and returns whether the record's revision advanced.
+    fn see(&mut self, revision: Revision, now: Moment) -> bool {
+        let advanced = revision.cell > self.seen.cell;
         self.seen.settings = self.seen.settings.max(revision.settings);
         self.seen.cell = self.seen.cell.max(revision.cell);
         self.seen_at = now;
+        advanced
     }
 }
 
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -14,7 +14,7 @@
 use std::sync::LazyLock;
 use std::time::Duration;
 
-use redwinggrade::process::cell::{Action, Cell, Config, Event, Heads, Rules, Swapped};
+use redwinggrade::process::cell::{Action, Cell, Config, Event, Heads, PERMIT, Rules, Swapped};
 use redwinggrade::process::owner::owner;
 use redwinggrade::time::Moment;
 use redwinggrade::wire::exchange::Record;
@@ -79,6 +79,7 @@
     pub record: Option<Record>,
     pub stopping: bool,
     pub released: bool,
+    pub settled: bool,
 }
 
 impl ReportKey {
@@ -90,6 +91,7 @@
             record: report.record,
             stopping: report.stopping,
             released: report.released,
+            settled: report.settled,
         }
     }
 
@@ -102,7 +104,7 @@
             record: self.record,
             stopping: self.stopping,
             released: self.released,
-            settled: false,
+            settled: self.settled,
             targets: Vec::new(),
             mark: 0,
             seen: Vec::new(),
@@ -194,6 +196,7 @@
                 swaps: 0,
                 reads: 0,
                 checked: true,
+                settled: true,
             },
         }
     }
@@ -509,6 +512,11 @@
         for node in &mut self.nodes {
             node.now = node.now + rated(node.rate);
             node.woken = false;
+            // The answers to a slow node are bounded: one that is this old supports nothing.
+            let (now, slow) = (node.now, node.slow);
+            node.held.retain(|held| {
+                !matches!(held, Message::Answer { sent, .. } if slow && now.since(*sent) > PERMIT)
+            });
         }
         self.majority_for = self
             .majority_for
@@ -527,6 +535,33 @@
         self.advance(step);
     }
 
+    /// Returns whether the store's record has a ballot.
+    pub fn ballot_open(&self) -> bool {
+        let record = self.store.record.as_ref();
+        record.is_some_and(|(record, _)| record.ballot.is_some())
+    }
+
+    /// Goes on until a condition holds, which is checked after each message.
+    pub fn until<Holds>(&mut self, step: Duration, holds: Holds)
+    where
+        Holds: Fn(&Self) -> bool,
+    {
+        for _ in 0..100_000 {
+            if holds(self) {
+                return;
+            }
+            if !self.queue.is_empty() {
+                self.deliver();
+            } else if let Some(node) = self.nodes.iter().position(|node| !node.woken) {
+                self.tick(node);
+            } else {
+                self.advance(step);
+            }
+            self.check();
+        }
+        panic!("the condition never holds: {self:#?}");
+    }
+
     pub fn settle(&mut self) {
         while !self.queue.is_empty() {
             self.deliver();
@@ -629,7 +664,7 @@
             self.majority_for.get_or_insert(Duration::ZERO);
         }
         let grace = redwinggrade::process::cell::GRACE;
-        if (at == members.len() && (settled || members.is_empty()))
+        if (at == members.len() && (settled || members.is_empty() || !self.untracked.settled))
             || self.majority_for.is_some_and(|elapsed| elapsed >= grace)
         {
             self.accepted = version;
@@ -648,8 +683,8 @@
         };
         let nows: Vec<Moment> = self.nodes.iter().map(|node| node.now).collect();
         let shift = |message: &mut Message| match message {
-            Message::Ask { from, sent, .. } => *sent = relative(nows[*from], *sent, HORIZON),
-            Message::Answer { to, sent, .. } => *sent = relative(nows[*to], *sent, HORIZON),
+            Message::Ask { from, sent, .. } => *sent = relative(nows[*from], *sent, PERMIT),
+            Message::Answer { to, sent, .. } => *sent = relative(nows[*to], *sent, PERMIT),
             Message::Read { to, started, .. } => *started = relative(nows[*to], *started, HORIZON),
             Message::Swap { .. } | Message::Swapped { .. } => {}
         };
@@ -723,6 +758,8 @@
     pub reads: u32,
     /// Whether each delivery is followed by a check of the promises.
     pub checked: bool,
+    /// Whether acceptance by all members needs one that has known the list for `GRACE`.
+    pub settled: bool,
 }
 
 impl Hash for Untracked {
