--- /dev/null
+++ b/tests/choice_share.rs
@@ -0,0 +1,133 @@
+//! Guards against orders of replicas that send all legs of one exchange period to one target.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use redwinggrade::request::choice::{Policy, Preference, pick};
+use redwinggrade::request::snapshot;
+use redwinggrade::version::directory::{Directory, Target};
+use redwinggrade::wire::exchange::Holding;
+use redwinggrade::wire::{Incarnation, Load, Member, Version};
+
+/// Seeds that each test draws with; shares are checked with wide margins.
+const DRAWS: u64 = 4_000;
+
+fn target(replica: u32, data_centre: &str, version: u64, load: Load) -> Target {
+    let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 1_000));
+    Target {
+        name: format!("v{version}-r{replica}").into(),
+        address,
+        data_centre: data_centre.into(),
+        index: "index".into(),
+        service: "s0".into(),
+        replica,
+        gateway: Some(Member {
+            name: "node".to_owned(),
+            incarnation: Incarnation(1),
+            peer: address,
+            caller: address,
+        }),
+        usable: true,
+        holdings: vec![Holding {
+            version: Version(version),
+            shard: 0,
+            shards: 1,
+        }],
+        load,
+    }
+}
+
+const fn load(queued: u16, running: u16, limit: u16, latency_us: u32) -> Load {
+    Load {
+        queued,
+        running,
+        limit,
+        latency_us,
+    }
+}
+
+/// Returns the share of draws in which each of two targets is chosen by a node of `dc1`.
+fn shares(targets: &[Target; 2]) -> [f64; 2] {
+    let names = targets.each_ref().map(|target| &target.name);
+    let directory = Directory::build(targets.to_vec());
+    let replicas = directory.replicas("index", Version(1), 0);
+    let mut counts = [0.0; 2];
+    for draw in 0..DRAWS {
+        let preference = Preference {
+            policy: Policy::LeastWait,
+            data_centre: "dc1",
+            seed: draw.wrapping_mul(0x9e37_79b9_7f4a_7c15),
+        };
+        let chosen = pick(&directory, replicas, preference, |_| false).expect("both take work");
+        let at = names
+            .iter()
+            .position(|name| **name == directory.target(chosen).name);
+        counts[at.expect("the target is one of the two")] += 1.0 / DRAWS as f64;
+    }
+    counts
+}
+
+/// Guards against coordinators that fill the paced queue of a cold target because it is local.
+#[test]
+fn a_cold_local_replica_gets_about_half_of_its_share_by_rate() {
+    let cold = target(0, "dc1", 1, load(0, 0, 1, 50_000));
+    let warm = target(1, "dc2", 1, load(0, 0, 2, 8_000));
+    let [cold, _] = shares(&[cold, warm]);
+    // The cold target serves 20/s and the warm one 250/s; half of 20 / 270 is 3.7%.
+    assert!((0.02..0.06).contains(&cold), "share {cold}");
+}
+
+/// Guards against cold targets that get no legs and never become warm.
+#[test]
+fn a_cold_replica_is_used_if_no_other_takes_work() {
+    let cold = target(0, "dc1", 1, load(0, 0, 1, 50_000));
+    let mut gone = target(1, "dc2", 1, load(0, 0, 2, 8_000));
+    gone.usable = false;
+    let [cold, _] = shares(&[cold, gone]);
+    assert!(cold > 0.99, "share {cold}");
+}
+
+/// Guards against a replica that gets all legs until the next report because another one is busy.
+#[test]
+fn a_busy_replica_gets_about_a_quarter_of_the_legs() {
+    let busy = target(0, "dc1", 1, load(1, 2, 2, 8_000));
+    let free = target(1, "dc1", 1, load(0, 1, 2, 8_000));
+    let [busy, _] = shares(&[busy, free]);
+    assert!((0.2..0.3).contains(&busy), "share {busy}");
+}
+
+/// Guards against legs that go far away although a local target has a free slot.
+#[test]
+fn a_local_replica_with_a_free_slot_gets_all_legs() {
+    let local = target(0, "dc1", 1, load(0, 1, 2, 8_000));
+    let remote = target(1, "dc2", 1, load(0, 0, 2, 8_000));
+    let [local, _] = shares(&[local, remote]);
+    assert!(local > 0.99, "share {local}");
+}
+
+/// Guards against legs that queue at a full local target while a remote one is free.
+#[test]
+fn a_full_local_replica_gets_one_leg_in_eight() {
+    let full = target(0, "dc1", 1, load(6, 2, 2, 8_000));
+    let remote = target(1, "dc2", 1, load(0, 0, 2, 8_000));
+    let [full, _] = shares(&[full, remote]);
+    assert!((0.09..0.16).contains(&full), "share {full}");
+}
+
+/// Returns the version that a query is pinned to, with some targets at the old and at the new one.
+fn pinned(old: u32, new: u32) -> Version {
+    let idle = load(0, 0, 2, 8_000);
+    let holders = (0..old).map(|replica| target(replica, "dc1", 1, idle));
+    let holders = holders.chain((0..new).map(|replica| target(replica, "dc1", 2, idle)));
+    let directory = Directory::build(holders.collect());
+    let choice = snapshot::choose(&directory, "index", None);
+    choice.expect("a version is known").version
+}
+
+/// Guards against the load of all targets moving to the first one that holds a new version.
+#[test]
+fn a_new_version_is_chosen_once_half_as_many_targets_hold_it() {
+    assert_eq!(pinned(6, 1), Version(1));
+    assert_eq!(pinned(5, 2), Version(1));
+    assert_eq!(pinned(4, 2), Version(2));
+    assert_eq!(pinned(0, 1), Version(2));
+}
