--- a/harness/src/fixture.rs
+++ b/harness/src/fixture.rs
@@ -288,7 +288,7 @@
     /// The added shards of a larger version go to the first services.
     pub async fn roll(&self, load: &Load, version: u64, shards: u32) -> anyhow::Result<()> {
         for beside in [true, false] {
-            for target in self.fleet.spec().targets.iter() {
+            for target in &self.fleet.spec().targets {
                 if target.index != SEARCH.name {
                     continue;
                 }
--- a/harness/tests/membership.rs
+++ b/harness/tests/membership.rs
@@ -6,7 +6,8 @@
 use anyhow::ensure;
 use redwinggrade_demo::fixture::{Fixture, Layout};
 use rstest::rstest;
-use serde_json::{Value as Json, json};
+use serde_json::json;
+use standins::process::Signal;
 
 /// The most reads of one node in a second: its head reads, and those for its start.
 const READS_PER_NODE: u64 = 10;
@@ -126,11 +127,9 @@
 /// more work there than its slots, which slow work fills.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_gateway_thaws_after_it_was_replaced() -> anyhow::Result<()> {
-    use standins::process::Signal;
-
     let mut it = Fixture::start(Layout::CELL).await?;
     for name in it.targets() {
-        let command: Json = json!({"name": name, "slow_factor": 8.0});
+        let command = json!({"name": name, "slow_factor": 8.0});
         it.fleet.target(&command).await?;
     }
     let load = it.load();
--- a/harness/tests/settings.rs
+++ b/harness/tests/settings.rs
@@ -26,7 +26,7 @@
 /// Applies the settings with one value changed.
 fn apply(it: &Fixture, limit: u32, base: u64, name: &str) -> anyhow::Result<Output> {
     let file = it.write(name, |settings| {
-        settings["defaults"]["limit"] = json!(limit)
+        settings["defaults"]["limit"] = json!(limit);
     })?;
     let file = file.to_str().context("the path is not text")?;
     let base = base.to_string();
@@ -42,7 +42,7 @@
 async fn logged(fleet: &Fleet) -> anyhow::Result<usize> {
     let journal = fleet.store_journal().await?;
     let writes = journal["writes"].as_array().context("a list")?;
-    let puts = writes.iter().flat_map(|it| it["puts"].as_array());
+    let puts = writes.iter().filter_map(|it| it["puts"].as_array());
     let keys = puts.flatten().filter_map(Json::as_str);
     Ok(keys.filter(|key| key.starts_with("settings/log/")).count())
 }
@@ -307,7 +307,7 @@
     let mut seen = 0;
     while !done.load(Ordering::Acquire) {
         // The version must be at least the one that was accepted before the question was sent.
-        let least = accepted.load(Ordering::Acquire);
+        let floor = accepted.load(Ordering::Acquire);
         let Ok(status) = http::call_json(admin, "GET", "/admin/status", &Json::Null).await else {
             tokio::time::sleep(Duration::from_millis(5)).await;
             continue;
@@ -321,8 +321,8 @@
             now.1
         );
         ensure!(
-            status["permit"] != json!(true) || now.1 >= least,
-            "a permit at version {} after {least} was accepted",
+            status["permit"] != json!(true) || now.1 >= floor,
+            "a permit at version {} after {floor} was accepted",
             now.1
         );
         last = now;
@@ -341,13 +341,9 @@
     let load = it.load();
     it.meet(&load).await?;
     match &fault {
-        Some(fault) => it.fleet.store_faults(fault).await?,
-        None => {
-            it.fleet
-                .store_put("settings/head", b"{\"version\": ")
-                .await?
-        }
-    }
+        Some(fault) => it.fleet.store_faults(fault).await,
+        None => it.fleet.store_put("settings/head", b"{\"version\": ").await,
+    }?;
     it.fleet
         .wait("a log line on the damaged value", async || {
             let mut nodes = 0..it.fleet.nodes.len();
--- a/standins/src/process.rs
+++ b/standins/src/process.rs
@@ -113,7 +113,10 @@
             .with_context(|| format!("cannot start {name}"))?;
         let stdout = child.stdout.take().expect("the output is piped");
         let reader = Reader::spawn(stdout, false);
-        let errors = child.stderr.take().map(|errors| Reader::spawn(errors, true));
+        let errors = child
+            .stderr
+            .take()
+            .map(|errors| Reader::spawn(errors, true));
         Ok(Self {
             name,
             child,
