Check the exact share of legs that each replica gets

Four cases expected the old rule, by which the least loaded replica got all legs of an exchange period. The rule draws since, and the shares follow from its constants (FULL_TURN 8, a busy replica against a free one 1 to 3). The table now states each share and checks it to 0.03 instead of to a fifth of a fair share.

--- a/tests/request.rs
+++ b/tests/request.rs
@@ -68,26 +68,29 @@
 const ASKED: u16 = 97;
 
 /// Guards against a choice that ignores locality, load or usability, or that sends all to one replica.
-/// The cases give the running legs of four replicas, the first two local, and which of them share 300
-/// choices.
+/// The cases give the running legs of four replicas with four slots each, the first two local, and
+/// the share of legs that follows from the constants of `choice`.
 #[rstest]
-#[case::least_wait(LeastWait, [3, 1, 0, 0], &[1])]
-#[case::similar_waits(LeastWait, [5, 6, 0, 0], &[0, 1])]
-#[case::one_full(LeastWait, [16, 1, 0, 0], &[1])]
-#[case::local_full(LeastWait, [16, 16, 1, 1], &[2, 3])]
-#[case::all_full(LeastWait, [16, 16, 16, 16], &[0, 1])]
-#[case::local_out(LeastWait, [OUT, OUT, 1, 1], &[2, 3])]
-#[case::no_gateway(LeastWait, [1, NO_GATEWAY, 0, 0], &[0])]
-#[case::asked(LeastWait, [ASKED, 1, 0, 0], &[1])]
-#[case::none(LeastWait, [OUT; 4], &[])]
-#[case::random(Random, [3, 1, 0, 0], &[0, 1])]
-#[case::in_turn(RoundRobin(0), [3, 1, 0, 0], &[0, 1])]
-#[case::in_turn_elsewhere(RoundRobin(0), [OUT, OUT, 0, 0], &[2, 3])]
+#[case::free_slots(LeastWait, [3, 1, 0, 0], [0.5, 0.5, 0.0, 0.0])]
+#[case::one_busy(LeastWait, [5, 1, 0, 0], [0.25, 0.75, 0.0, 0.0])]
+#[case::both_busy(LeastWait, [5, 6, 0, 0], [0.5, 0.5, 0.0, 0.0])]
+#[case::one_full(LeastWait, [16, 1, 0, 0], [0.031, 0.969, 0.0, 0.0])]
+#[case::local_full(LeastWait, [16, 16, 1, 1], [0.117, 0.117, 0.383, 0.383])]
+#[case::all_full(LeastWait, [16, 16, 16, 16], [0.41, 0.41, 0.09, 0.09])]
+#[case::local_out(LeastWait, [OUT, OUT, 1, 1], [0.0, 0.0, 0.5, 0.5])]
+#[case::no_gateway(LeastWait, [1, NO_GATEWAY, 0, 0], [1.0, 0.0, 0.0, 0.0])]
+#[case::asked(LeastWait, [ASKED, 1, 0, 0], [0.0, 1.0, 0.0, 0.0])]
+#[case::none(LeastWait, [OUT; 4], [0.0; 4])]
+#[case::random(Random, [3, 1, 0, 0], [0.5, 0.5, 0.0, 0.0])]
+#[case::in_turn(RoundRobin(0), [3, 1, 0, 0], [0.5, 0.5, 0.0, 0.0])]
+#[case::in_turn_elsewhere(RoundRobin(0), [OUT, OUT, 0, 0], [0.0, 0.0, 0.5, 0.5])]
 fn the_best_replicas_share_the_legs(
     #[case] policy: Policy,
     #[case] running: [u16; 4],
-    #[case] expected: &[usize],
+    #[case] expected: [f64; 4],
 ) {
+    /// The standard deviation of a share over this many draws is below 0.01.
+    const DRAWS: u64 = 3_000;
     let mut all = targets(&[(8, 1)], 4);
     all[1].data_centre = "dc1".into();
     for (target, running) in all.iter_mut().zip(running) {
@@ -98,7 +101,7 @@
     let directory = Directory::build(all);
     let replicas = directory.replicas("tins", Version(8), 0);
     let mut counts = [0; 4];
-    for seed in 0..300 {
+    for seed in 0..DRAWS {
         let mut preference = Preference {
             policy,
             data_centre: "dc1",
@@ -114,10 +117,10 @@
             counts[directory.target(key).replica as usize] += 1;
         }
     }
-    for (replica, count) in counts.into_iter().enumerate() {
-        let share = u32::from(expected.contains(&replica)) * 300;
-        let fair = share / expected.len().max(1) as u32;
-        assert!(fair.abs_diff(count) <= fair / 5, "{counts:?}");
+    for (share, count) in expected.into_iter().zip(counts) {
+        let got = f64::from(count) / DRAWS as f64;
+        assert!((share - got).abs() <= 0.03, "{counts:?}");
+        assert_eq!(share == 0.0, count == 0, "{counts:?}");
     }
 }
 
