Dispatch nothing between adopting a change and applying it at the gates

Peers take a reported revision as a release of targets, and the acceptance of a change rests on it, but the gates learned of a change up to 50 ms later. Adopting now suspends all gates at once, and each resumes after its own new ownership.

--- a/src/process/control.rs
+++ b/src/process/control.rs
@@ -254,6 +254,8 @@
     joined: HashMap<(String, Incarnation), Moment>,
     own_mark: u64,
     assignment: Assignment,
+    /// Whether nothing is dispatched until the gates know a change.
+    suspended: bool,
     announced: bool,
     leaving: bool,
     permitted: bool,
@@ -291,6 +293,7 @@
             joined: HashMap::new(),
             own_mark: 0,
             assignment: Assignment::default(),
+            suspended: false,
             announced: false,
             leaving: false,
             permitted: false,
@@ -315,10 +318,10 @@
     ) -> Result<(), ActorProcessingErr> {
         let now = state.config.clock.now();
         state.receive(message, now);
-        state.publish_permit(state.config.clock.now());
-        if state.dirty && now >= state.next_view {
+        if state.suspended || (state.dirty && now >= state.next_view) {
             state.rebuild(now).await;
         }
+        state.publish_permit(state.config.clock.now());
         Ok(())
     }
 }
@@ -364,7 +367,7 @@
         me.incarnation = Incarnation(fresh.max(me.incarnation.0 + 1));
         log::warn!(incarnation:% = me.incarnation; "removed from the cell; joining again");
         self.cell = join(&self.config, self.replica.version(), now);
-        self.dirty = true;
+        self.suspend();
     }
 
     fn tick(&mut self, now: Moment) {
@@ -387,7 +390,11 @@
     }
 
     fn cell_step(&mut self, event: cell::Event, now: Moment) {
-        for action in self.cell.step(event, now) {
+        let actions = self.cell.step(event, now);
+        if actions.contains(&cell::Action::Changed) {
+            self.suspend();
+        }
+        for action in actions {
             match action {
                 cell::Action::Read => self.read_heads(now),
                 cell::Action::Swap { expected, record } => self.swap(expected, record),
@@ -397,8 +404,17 @@
         }
     }
 
+    /// Stops dispatching until the gates know the new members or settings.
+    ///
+    /// Peers take a reported revision for the promise that this node acts on it: a former owner
+    /// releases its targets by it, and a change of the settings is accepted by it.
+    fn suspend(&mut self) {
+        self.suspended = true;
+        self.config.gateway.suspend();
+        self.shared.permit_until.store(0, Ordering::Release);
+    }
+
     fn cell_changed(&mut self) {
-        self.dirty = true;
         let revision = self.cell.revision().cell;
         self.config
             .metrics
@@ -431,7 +447,7 @@
                 }
                 replica::Action::AskPeer { peer, since } => self.ask_settings(&peer, since),
                 replica::Action::Adopt { version, .. } => {
-                    self.dirty = true;
+                    self.suspend();
                     self.config
                         .metrics
                         .settings_version
@@ -824,6 +840,7 @@
 
     async fn rebuild(&mut self, now: Moment) {
         self.dirty = false;
+        self.suspended = false;
         self.next_view = now + REBUILD;
         let tree = Arc::clone(self.replica.tree());
         let place = (self.config.data_centre.as_str(), self.config.cell.as_str());
--- a/src/process/gateway.rs
+++ b/src/process/gateway.rs
@@ -84,6 +84,8 @@
     metrics: Metrics,
     /// Work may be dispatched before this moment, in microseconds of the clock.
     permit_until: AtomicU64,
+    /// Counts the changes of ownership; an actor dispatches only if it knows the newest one.
+    epoch: AtomicU64,
     owned: ArcSwap<HashMap<String, Entry>>,
     /// Held while the set of owned targets changes.
     owning: tokio::sync::Mutex<()>,
@@ -146,6 +148,7 @@
                 clock,
                 metrics,
                 permit_until: AtomicU64::new(0),
+                epoch: AtomicU64::new(0),
                 owned: ArcSwap::default(),
                 owning: tokio::sync::Mutex::default(),
                 closing: Mutex::default(),
@@ -161,6 +164,14 @@
             .store(until.as_micros(), Ordering::Release);
     }
 
+    /// Stops dispatching at once, until [`Gateway::own`] has reached each target's actor.
+    ///
+    /// A permit that is given meanwhile reaches an actor only after the new ownership.
+    pub fn suspend(&self) {
+        self.common.epoch.fetch_add(1, Ordering::AcqRel);
+        self.permit(Moment::ZERO);
+    }
+
     /// Starts the legs of a batch; `reply` gets exactly one frame for each leg.
     pub fn offer(&self, batch: Batch, reply: &mpsc::UnboundedSender<Frame>) -> Offered {
         let now = self.common.clock.now();
@@ -231,6 +242,7 @@
     /// Work that runs at a target that is given up finishes; what is queued is refused.
     pub async fn own(&self, targets: Vec<Owned>) -> anyhow::Result<()> {
         let _alone = self.common.owning.lock().await;
+        let epoch = self.common.epoch.load(Ordering::Acquire);
         let before = self.common.owned.load_full();
         let mut after = HashMap::with_capacity(targets.len());
         for owned in targets {
@@ -269,6 +281,10 @@
         for entry in given_up {
             self.common.disown(entry);
         }
+        for entry in after.values() {
+            // Messages keep their order, so the actor knows its ownership before it goes on.
+            let _running = entry.actor.cast(Message::Resume(epoch));
+        }
         Ok(())
     }
 
@@ -309,10 +325,19 @@
         Moment::from_micros(self.permit_until.load(Ordering::Acquire))
     }
 
+    /// Returns until when an actor that knows the ownership of `epoch` may dispatch.
+    fn permit_of(&self, epoch: &AtomicU64) -> Moment {
+        if epoch.load(Ordering::Acquire) == self.epoch.load(Ordering::Acquire) {
+            self.permit_until()
+        } else {
+            Moment::ZERO
+        }
+    }
+
     /// Tells why a search must not be written now, if there is a reason.
-    fn check(&self, deadline: Moment) -> Result<(), Reason> {
+    fn check(&self, epoch: &AtomicU64, deadline: Moment) -> Result<(), Reason> {
         let now = self.clock.now();
-        if now >= self.permit_until() {
+        if now >= self.permit_of(epoch) {
             Err(Reason::NoPermit)
         } else if now >= deadline {
             Err(Reason::Expired)
@@ -446,6 +471,8 @@
     Link(LinkKey, Signal<Purpose>),
     Own(Owned),
     Disown,
+    /// The ownership of this epoch has been made known.
+    Resume(u64),
     Tick,
     Poll,
     Retry,
@@ -476,6 +503,8 @@
 #[derive(Debug)]
 struct State {
     common: Arc<Common>,
+    /// The newest change of ownership that the actor knows.
+    epoch: Arc<AtomicU64>,
     myself: ActorRef<Message>,
     owned: Owned,
     target: Target,
@@ -534,6 +563,7 @@
             target: Target::new(owned.address),
             alarm,
             _timer: AbortOnDropHandle::new(tokio::spawn(timer)),
+            epoch: Arc::new(AtomicU64::new(common.epoch.load(Ordering::Acquire))),
             common,
             myself,
             owned,
@@ -582,6 +612,10 @@
                 state.disowned = true;
                 state.step(Event::Close(Reason::NotOwner), now);
             }
+            Message::Resume(epoch) => {
+                state.epoch.store(epoch, Ordering::Release);
+                state.step(Event::Tick, now);
+            }
             Message::Tick => {
                 state.alarm_at = Moment::NEVER;
                 state.step(Event::Tick, now);
@@ -629,7 +663,8 @@
 impl State {
     /// Lets the gate decide on an event and carries out what it decides.
     fn step(&mut self, event: Event, now: Moment) {
-        for action in self.gate.step(event, now, self.common.permit_until()) {
+        let permit_until = self.common.permit_of(&self.epoch);
+        for action in self.gate.step(event, now, permit_until) {
             match action {
                 Action::Dispatch(key) => self.dispatch(key, now),
                 Action::Refuse(key, reason) => {
@@ -732,12 +767,13 @@
         self.common.metrics.target_connections.inc();
         let purpose = first.as_ref().map(|(purpose, _)| *purpose);
         let (common, myself) = (Arc::clone(&self.common), self.myself.clone());
+        let epoch = Arc::clone(&self.epoch);
         let target = &self.target;
         self.links.insert_with_key(|key| Link {
             connection: Connection::open(
                 target,
                 first,
-                move |deadline| common.check(deadline),
+                move |deadline| common.check(&epoch, deadline),
                 move |signal| {
                     // The actor ends before its connections only when nothing runs.
                     let _ended = myself.cast(Message::Link(key, signal));
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -157,6 +157,23 @@
     assert!(closed.is_err_and(|error| error.not_sent()));
 }
 
+/// Guards against a dispatch under an old ownership after the new one was reported to peers: a permit
+/// alone must not end a suspension.
+#[tokio::test]
+async fn a_suspension_ends_only_with_the_new_ownership() {
+    let fake = Fake::open().await;
+    let gateway = gateway(&fake).await;
+    gateway.suspend();
+    gateway.permit(Moment::NEVER);
+    let frames = offer(&gateway, batch("r", 1, PATIENCE)).await;
+    assert_eq!(failure(&frames[0]), Some(Reason::NoPermit));
+    assert_eq!(fake.searches.load(Ordering::SeqCst), 0);
+    gateway.own(vec![owned(&fake)]).await.unwrap();
+    let frames = offer(&gateway, batch("s", 1, PATIENCE)).await;
+    assert_eq!(failure(&frames[0]), None);
+    assert_eq!(fake.searches.load(Ordering::SeqCst), 1);
+}
+
 /// Guards against dispatching without a permit, before the moment of ownership, and out of service.
 #[tokio::test]
 async fn nothing_is_dispatched_without_a_right_to() {
