--- a/src/process/ramp.rs
+++ b/src/process/ramp.rs
@@ -385,11 +385,14 @@
     /// give all the answers of a cold start before it gets more.
     fn count_slow(&mut self, now: Moment) {
         self.slow += 1;
-        let limited = self.suspended.is_some() || self.level.stage == Stage::Cold;
-        if !limited {
-            self.suspect(now);
-        } else if self.slow >= SURGE_ANSWERS {
+        if self.slow < SURGE_ANSWERS {
+            return;
+        }
+        if self.suspended.is_some() || self.level.stage == Stage::Cold {
             self.cool(now);
+        } else {
+            self.slow = 0;
+            self.suspect(now);
         }
     }
 
