Learn moving versions sooner, and refuse at a data centre that is out only after its lists ended

Four callers were refused by nodes that had just been taken out, because lists given by nodes that had not heard named them.

--- a/harness/src/scene.rs
+++ b/harness/src/scene.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use redwinggrade::client::Error;
 use redwinggrade_demo::fleet::{Config, Fleet};
 use redwinggrade_demo::judge::{Verdict, judge};
 use redwinggrade_demo::load::{Load, MAGNOLIA, Record, TAMAR};
@@ -353,6 +354,7 @@
             println!("connection overruns {}", targets.connection_overruns);
             println!("last start in dc2 after it was out: {late} ms");
             println!("store calls: {store}");
+            lost(records);
             println!(
                 "{}",
                 if clean {
@@ -430,3 +432,25 @@
         }
     }
 }
+
+/// Prints the requests that ended without an answer and without a refusal.
+fn lost(records: &[Record]) {
+    let lost = |record: &&Record| {
+        record
+            .outcome
+            .result
+            .as_ref()
+            .is_err_and(|e| !matches!(e, Error::Refused(_)))
+    };
+    for record in records.iter().filter(lost) {
+        println!(
+            "no answer: {}/{} at {:?}, {} attempts, {:?}, ids {:?}",
+            record.query.index,
+            record.query.kind,
+            record.at,
+            record.outcome.attempts,
+            record.outcome.elapsed,
+            record.outcome.requests,
+        );
+    }
+}
--- a/src/client/mod.rs
+++ b/src/client/mod.rs
@@ -184,7 +184,7 @@
                     return Err(Error::Refused(refusal));
                 }
                 Attempt::Refused(refusal) => {
-                    if refusal.reason == Reason::Stopping {
+                    if matches!(refusal.reason, Reason::Stopping | Reason::OutOfService) {
                         self.forget();
                     }
                     if !doubt {
--- a/src/process/gateway.rs
+++ b/src/process/gateway.rs
@@ -35,6 +35,15 @@
 /// is observed sooner by the searches themselves.
 pub const STATUS_PERIOD: Duration = Duration::from_secs(1);
 
+/// The period of status calls while versions are moving.
+pub const STATUS_PERIOD_MOVING: Duration = Duration::from_millis(200);
+
+/// How long versions count as moving after some target of the node held something new.
+///
+/// Versions roll over the targets of an index one after the other. A query can only move to a version
+/// whose targets are known, so a change at one target makes the others worth asking.
+pub const MOVING_HOLD: Duration = Duration::from_secs(10);
+
 /// The time for which a target that answered "draining" gets no work, unless it restarts; its status
 /// may lag and still say that it takes work.
 pub const DRAINING_HOLD: Duration = Duration::from_secs(10);
@@ -86,6 +95,8 @@
     permit_until: AtomicU64,
     /// Counts the changes of ownership; an actor dispatches only if it knows the newest one.
     epoch: AtomicU64,
+    /// Versions count as moving until this moment, in microseconds of the clock.
+    moving_until: AtomicU64,
     owned: ArcSwap<HashMap<String, Entry>>,
     /// Held while the set of owned targets changes.
     owning: tokio::sync::Mutex<()>,
@@ -149,6 +160,7 @@
                 metrics,
                 permit_until: AtomicU64::new(0),
                 epoch: AtomicU64::new(0),
+                moving_until: AtomicU64::new(0),
                 owned: ArcSwap::default(),
                 owning: tokio::sync::Mutex::default(),
                 closing: Mutex::default(),
@@ -325,6 +337,12 @@
         Moment::from_micros(self.permit_until.load(Ordering::Acquire))
     }
 
+    /// Notes that some target holds something new.
+    fn set_moving(&self, now: Moment) {
+        let until = (now + MOVING_HOLD).as_micros();
+        self.moving_until.store(until, Ordering::Release);
+    }
+
     /// Returns until when an actor that knows the ownership of `epoch` may dispatch.
     fn permit_of(&self, epoch: &AtomicU64) -> Moment {
         if epoch.load(Ordering::Acquire) == self.epoch.load(Ordering::Acquire) {
@@ -519,6 +537,8 @@
     holdings: Vec<Holding>,
     /// Versions that the target refused as not held, with the time of the refusal.
     gone: Vec<(Version, Moment)>,
+    /// When the last regular status call was made.
+    polled: Moment,
     /// The end of the time for which the target counts as draining, and its generation then.
     draining: Option<(Moment, Option<u64>)>,
     /// Whether the target was reached since the last failure to reach it.
@@ -573,6 +593,7 @@
             alarm_at: Moment::NEVER,
             holdings: Vec::new(),
             gone: Vec::new(),
+            polled: Moment::ZERO,
             draining: None,
             reachable: false,
             retrying: false,
@@ -585,7 +606,9 @@
             state.step(Event::Close(Reason::OutOfService), now);
         }
         state.myself.cast(Message::Poll)?;
-        state.myself.send_interval(STATUS_PERIOD, || Message::Poll);
+        state
+            .myself
+            .send_interval(STATUS_PERIOD_MOVING, || Message::Poll);
         Ok(state)
     }
 
@@ -620,7 +643,7 @@
                 state.alarm_at = Moment::NEVER;
                 state.step(Event::Tick, now);
             }
-            Message::Poll => state.poll(),
+            Message::Poll => state.poll_due(now),
             Message::Retry => {
                 state.retrying = false;
                 state.poll();
@@ -937,6 +960,17 @@
     }
 
     /// Asks for the target's status.
+    /// Makes a status call if the last one is a period ago.
+    fn poll_due(&mut self, now: Moment) {
+        let moving = now < Moment::from_micros(self.common.moving_until.load(Ordering::Acquire));
+        // Half a tick of the interval, so that its jitter skips no call.
+        let slack = STATUS_PERIOD_MOVING / 2;
+        if moving || now.since(self.polled) + slack >= STATUS_PERIOD {
+            self.polled = now;
+            self.poll();
+        }
+    }
+
     fn poll(&mut self) {
         let polling = self
             .links
@@ -959,6 +993,9 @@
         }
         self.gone
             .retain(|(_, refused)| now.since(*refused) < GONE_HOLD);
+        if !self.holdings.is_empty() && self.holdings != status.holdings {
+            self.common.set_moving(now);
+        }
         self.holdings = status.holdings;
         self.holdings.truncate(HOLDINGS_MAX);
         // What the target refused recently counts more than its possibly stale status.
@@ -992,6 +1029,7 @@
         self.holdings.retain(|holding| holding.version != version);
         self.gone.retain(|(gone, _)| *gone != version);
         self.gone.push((version, now));
+        self.common.set_moving(now);
     }
 
     fn drain(&mut self, now: Moment) {
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -20,7 +20,7 @@
 use super::config::Config;
 use super::control::{self, Control, EXCHANGE_PATH, RECORDS_PATH, SETTINGS_PATH};
 use super::coordinator::{CANCEL_PATH, Cancel, Coordinator};
-use super::drain::{Drain, Event, Phase};
+use super::drain::{self, Drain, Event, Phase};
 use super::gateway::{Gateway, Offered};
 use super::ledger::{Begun, Ledger};
 use super::metrics::Metrics;
@@ -251,7 +251,8 @@
             return false;
         }
         let since = self.out_since.fetch_min(now.as_micros(), Ordering::AcqRel);
-        now.since(Moment::from_micros(since.min(now.as_micros()))) >= KEEP
+        // Other nodes may give out lists with this one until they have heard of the change too.
+        now.since(Moment::from_micros(since.min(now.as_micros()))) >= KEEP + drain::MARGIN
     }
 
     fn elsewhere(&self, reason: Reason, text: &str, view: &View) -> Refusal {
