--- a/src/client/mod.rs
+++ b/src/client/mod.rs
@@ -160,6 +160,7 @@
         // Set once a message was written and its answer did not come: from then on the id may have run,
         // and a later "not run" speaks for a later message only.
         let mut doubt = false;
+        let mut tried = Vec::new();
         // Retries go to the following addresses, so that a dead node costs one attempt only.
         let first = self.next.fetch_add(1, Ordering::Relaxed);
         while *attempts < MAX_ATTEMPTS {
@@ -174,8 +175,8 @@
                 fresh = false;
             }
             let request = requests.last().expect("an id was pushed above").clone();
-            let place = first.wrapping_add(u64::from(*attempts)) % listed.addresses.len() as u64;
-            let address = listed.addresses[place as usize];
+            let address = next_address(&listed.addresses, first as usize, &tried);
+            tried.push(address);
             *attempts += 1;
             let timeout = attempt_limit(query, *attempts, left, self.clock.now().until(give_up));
             match self.attempt(address, query, &request, left, timeout).await {
@@ -293,6 +294,15 @@
     }
 }
 
+/// Returns the address for the next attempt: one that was not tried for this request, if there is any.
+fn next_address(addresses: &[SocketAddr], first: usize, tried: &[SocketAddr]) -> SocketAddr {
+    let start = first % addresses.len();
+    let (before, after) = addresses.split_at(start);
+    let mut turn = after.iter().chain(before);
+    let fresh = turn.find(|address| !tried.contains(address));
+    *fresh.unwrap_or(&addresses[(start + tried.len()) % addresses.len()])
+}
+
 /// Returns how long one attempt may take.
 ///
 /// A node that is frozen accepts connections and answers nothing. A request that may run twice is
