Share the membership list instead of copying it, and measure real changes

The Changes series applied files without a base version, which the client refuses, so its figures were void; it now takes a target out and in and fails on any other exit code.

--- a/harness/src/bin/redwinggrade-capacity.rs
+++ b/harness/src/bin/redwinggrade-capacity.rs
@@ -3,7 +3,6 @@
 //! Processor time and memory come from the kernel, bytes and calls from the nodes' counters and the
 //! store stand-in's count. `docs/CAPACITY.md` extrapolates from these figures.
 
-use std::path::Path;
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -117,12 +116,13 @@
     let (centres, nodes) = match args.series {
         Series::Members => (1, size),
         Series::Cells => (size, size * 3),
-        Series::Targets | Series::Changes | Series::Queries => (3, 3),
+        Series::Changes => (3, 9),
+        Series::Targets | Series::Queries => (3, 3),
     };
     let directory = tempfile::tempdir()?;
     let data_centres: Vec<String> = (1..=centres).map(|number| format!("dc{number}")).collect();
     let settings = directory.path().join("settings.yaml");
-    std::fs::write(&settings, tree(&data_centres, 0))?;
+    std::fs::write(&settings, tree(&data_centres))?;
     let spec = match args.series {
         Series::Queries => {
             let index = standins::spec::Index {
@@ -164,7 +164,7 @@
     let begun = tokio::time::Instant::now();
     let changing = async {
         if args.series == Series::Changes && size > 0 {
-            change(&fleet, directory.path(), &data_centres, size, args.seconds).await
+            change(&fleet, size, args.seconds).await
         } else {
             tokio::time::sleep(Duration::from_secs(args.seconds)).await;
             Ok(())
@@ -190,33 +190,32 @@
 /// The time that a fleet gets to join, to read the list and to warm its targets.
 const SETTLE: Duration = Duration::from_secs(8);
 
-async fn change(
-    fleet: &Fleet,
-    directory: &Path,
-    data_centres: &[String],
-    rate: usize,
-    seconds: u64,
-) -> anyhow::Result<()> {
+/// Makes changes of one value each, as operators do when they take targets out and in.
+async fn change(fleet: &Fleet, rate: usize, seconds: u64) -> anyhow::Result<()> {
     let begun = tokio::time::Instant::now();
     for number in 1..=rate * seconds as usize {
-        tokio::time::sleep_until(begun + Duration::from_secs_f64(number as f64 / rate as f64))
-            .await;
-        let file = directory.join("change.yaml");
-        std::fs::write(&file, tree(data_centres, number))?;
-        let file = file.to_str().context("the path is not valid UTF-8")?;
+        let due = begun + Duration::from_secs_f64(number as f64 / rate as f64);
+        tokio::time::sleep_until(due).await;
+        let way = if number % 2 == 0 { "in" } else { "out" };
         // The confirmation is not waited for, so that the rate is kept.
-        fleet.operate(&["apply", file, "--timeout", "0"])?;
+        let output = fleet.operate(&["instance", way, "target-1", "--timeout", "0"])?;
+        let code = output.status.code();
+        anyhow::ensure!(
+            matches!(code, Some(0 | 3)),
+            "a change ended with {code:?}: {}",
+            String::from_utf8_lossy(&output.stderr)
+        );
     }
     Ok(())
 }
 
-fn tree(data_centres: &[String], number: usize) -> String {
+fn tree(data_centres: &[String]) -> String {
     use std::fmt::Write;
 
-    let mut text = format!(
-        "defaults: {{ deadline_ms: {}, slots: 16 }}\ndata_centres:\n",
-        200 + number % 2
-    );
+    let mut text = "defaults: { slots: 16 }
+data_centres:
+"
+    .to_owned();
     for name in data_centres {
         writeln!(text, "  {name}: {{ state: in, cells: [{name}-0] }}").expect("a string grows");
     }
--- a/src/process/control.rs
+++ b/src/process/control.rs
@@ -241,7 +241,8 @@
     store: Arc<Store>,
     cell: Cell,
     replica: Replica,
-    list: List,
+    /// Shared with the reads under way, because at 58,000 targets a copy costs tens of megabytes.
+    list: Arc<List>,
     /// The store's revision up to which all cell records are known.
     read_to: u64,
     /// The records of all cells; of the own cell as the state machine has adopted it.
@@ -284,7 +285,7 @@
             store: Arc::new(Store::open(config.store.clone())),
             cell: join(&config, 0, now),
             replica: Replica::open(),
-            list: List::default(),
+            list: Arc::default(),
             read_to: 0,
             records: BTreeMap::new(),
             own: None,
@@ -766,7 +767,7 @@
     }
 
     fn read_members(&self) {
-        let (list, address) = (self.list.clone(), self.config.members);
+        let (list, address) = (Arc::clone(&self.list), self.config.members);
         let myself = self.myself.clone();
         tokio::spawn(async move {
             let result = list.read(address).await;
@@ -777,7 +778,7 @@
     fn members_read(&mut self, result: Result<Option<List>, members::Error>) {
         // The list lags by nature; while it cannot be read, the last one stays in use.
         if let Ok(Some(list)) = result {
-            self.list = list;
+            self.list = Arc::new(list);
             self.dirty = true;
         }
     }
