--- a/src/connection/caller.rs
+++ b/src/connection/caller.rs
@@ -3,8 +3,6 @@
 //! Every request is read whole, within limits of size and time, before any work starts, so that each
 //! refusal from here is truthfully "not run".
 
-use std::convert::Infallible;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,14 +10,10 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue};
-use hyper::service::service_fn;
 use hyper::{HeaderMap, Method, Request, Response};
-use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::TcpListener;
-use tokio::sync::Semaphore;
-use tokio_util::sync::CancellationToken;
 
+use super::server::{Limits, Server};
 use crate::request::answer::Refusal;
 use crate::request::ask::Ask;
 use crate::wire::Reason;
@@ -29,12 +23,13 @@
 pub const MAX_BODY: usize = 64 * 1024;
 /// The time within which a body must arrive whole.
 pub const BODY_TIMEOUT: Duration = Duration::from_secs(2);
-/// The time within which the head of a request must arrive; it also ends idle connections.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
 /// The longest deadline that a caller may ask for.
 pub const MAX_DEADLINE: Duration = Duration::from_mins(1);
-/// Connections of callers at once; more are closed at once so that memory stays bounded.
-const MAX_CONNECTIONS: usize = 10_000;
+/// Callers keep their connections between requests, so many of them are idle.
+const LIMITS: Limits = Limits {
+    head: Duration::from_secs(30),
+    connections: 10_000,
+};
 
 /// What the node does with requests that are well formed.
 pub trait Handler: Send + Sync + 'static {
@@ -51,80 +46,15 @@
     fn closing(&self) -> bool;
 }
 
-/// The running server.
-#[derive(Debug)]
-pub struct Server {
-    address: SocketAddr,
-    stop: CancellationToken,
-    task: tokio::task::JoinHandle<()>,
-}
-
-impl Server {
-    /// Starts to accept callers.
-    pub fn spawn<H>(listener: TcpListener, handler: Arc<H>) -> std::io::Result<Self>
-    where
-        H: Handler,
-    {
-        let address = listener.local_addr()?;
-        let stop = CancellationToken::new();
-        let task = tokio::spawn(accept(listener, handler, stop.clone()));
-        Ok(Self {
-            address,
-            stop,
-            task,
-        })
-    }
-
-    /// Returns the address that callers connect to.
-    pub fn address(&self) -> SocketAddr {
-        self.address
-    }
-
-    /// Stops accepting, lets the requests under way finish, and returns when all have.
-    pub async fn close(self) {
-        self.stop.cancel();
-        if let Err(e) = self.task.await {
-            log::error!("callers' server ended abnormally: {e}");
-        }
-    }
-}
-
-async fn accept<H>(listener: TcpListener, handler: Arc<H>, stop: CancellationToken)
+/// Starts to accept callers.
+pub fn spawn<H>(listener: TcpListener, handler: Arc<H>) -> std::io::Result<Server>
 where
     H: Handler,
 {
-    let graceful = GracefulShutdown::new();
-    let connections = Arc::new(Semaphore::new(MAX_CONNECTIONS));
-    loop {
-        let stream = tokio::select! {
-            () = stop.cancelled() => break,
-            accepted = listener.accept() => accepted,
-        };
-        let Ok((stream, _)) = stream else {
-            // Out of file descriptors: accepting again at once would only spin.
-            tokio::time::sleep(Duration::from_millis(10)).await;
-            continue;
-        };
-        let Ok(permit) = Arc::clone(&connections).try_acquire_owned() else {
-            continue;
-        };
-        let _ = stream.set_nodelay(true);
+    Server::spawn(listener, LIMITS, move |request| {
         let handler = Arc::clone(&handler);
-        let service = service_fn(move |request| {
-            let handler = Arc::clone(&handler);
-            async move { Ok::<_, Infallible>(serve(request, &*handler).await) }
-        });
-        let connection = hyper::server::conn::http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(HEAD_TIMEOUT)
-            .serve_connection(TokioIo::new(stream), service);
-        let connection = graceful.watch(connection);
-        tokio::spawn(async move {
-            let _ = connection.await;
-            drop(permit);
-        });
-    }
-    graceful.shutdown().await;
+        async move { serve(request, &*handler).await }
+    })
 }
 
 async fn serve<H>(request: Request<Incoming>, handler: &H) -> Response<Full<Bytes>>
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -5,6 +5,7 @@
 pub mod members;
 pub mod operator;
 pub mod peer;
+pub mod server;
 pub mod settings;
 pub mod store;
 pub mod target;
--- /dev/null
+++ b/src/connection/server.rs
@@ -0,0 +1,116 @@
+//! An HTTP/1.1 server whose stop cuts no request.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::GracefulShutdown;
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+/// The wait after a connection could not be accepted, for example for want of file descriptors;
+/// accepting again at once would only spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// What bounds a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// The time within which the head of a request must arrive; it also ends idle connections.
+    pub head: Duration,
+    /// Connections at once; more are closed at once so that memory stays bounded.
+    pub connections: usize,
+}
+
+/// A running server; it accepts nothing more once it is dropped.
+#[derive(Debug)]
+pub struct Server {
+    address: SocketAddr,
+    stop: CancellationToken,
+    task: Option<JoinHandle<()>>,
+}
+
+impl Server {
+    /// Starts to accept connections and hands each request to `answer`.
+    pub fn spawn<A, F>(listener: TcpListener, limits: Limits, answer: A) -> std::io::Result<Self>
+    where
+        A: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+        F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+    {
+        let address = listener.local_addr()?;
+        let stop = CancellationToken::new();
+        let task = tokio::spawn(accept(listener, limits, answer, stop.clone()));
+        Ok(Self {
+            address,
+            stop,
+            task: Some(task),
+        })
+    }
+
+    /// Returns the address at which the server listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops accepting, lets the requests under way finish, and returns when all have.
+    pub async fn close(mut self) {
+        self.stop.cancel();
+        if let Some(Err(e)) = async { Some(self.task.take()?.await) }.await {
+            log::error!(error:% = e; "a server ended abnormally");
+        }
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
+}
+
+async fn accept<A, F>(listener: TcpListener, limits: Limits, answer: A, stop: CancellationToken)
+where
+    A: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+{
+    let graceful = GracefulShutdown::new();
+    let connections = Arc::new(Semaphore::new(limits.connections));
+    loop {
+        let stream = tokio::select! {
+            () = stop.cancelled() => break,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((stream, _)) = stream else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let Ok(permit) = Arc::clone(&connections).try_acquire_owned() else {
+            continue;
+        };
+        // Without this option answers are only slower.
+        let _ = stream.set_nodelay(true);
+        let answer = answer.clone();
+        let service = service_fn(move |request| {
+            let response = answer(request);
+            async move { Ok::<_, Infallible>(response.await) }
+        });
+        let connection = hyper::server::conn::http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(limits.head)
+            .serve_connection(TokioIo::new(stream), service);
+        let connection = graceful.watch(connection);
+        tokio::spawn(async move {
+            // The other side learns of a broken connection by itself.
+            let _ = connection.await;
+            drop(permit);
+        });
+    }
+    graceful.shutdown().await;
+}
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -26,6 +26,7 @@
 use super::metrics::Metrics;
 use super::view::View;
 use crate::connection::peer::{self, Peers};
+use crate::connection::server::Server;
 use crate::connection::{caller, operator};
 use crate::request::answer::{Addresses, Refusal, conclude};
 use crate::request::ask::Ask;
@@ -51,9 +52,9 @@
 #[derive(Debug)]
 pub struct Node {
     shared: Arc<Shared>,
-    callers: caller::Server,
+    callers: Server,
     peers: peer::Server,
-    admin: operator::Server,
+    admin: Server,
 }
 
 /// What all requests of a node share.
@@ -89,9 +90,9 @@
         let shared = Arc::new(Shared::open(config).await?);
         let entry = Arc::new(Entry(Arc::clone(&shared)));
         Ok(Self {
-            callers: caller::Server::spawn(callers, Arc::clone(&entry))?,
+            callers: caller::spawn(callers, Arc::clone(&entry))?,
             peers: peer::serve(peers, Arc::clone(&entry))?,
-            admin: operator::Server::spawn(admin, entry)?,
+            admin: operator::spawn(admin, entry)?,
             shared,
         })
     }
--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -6,7 +6,8 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use redwinggrade::connection::caller::{Handler, MAX_BODY, Server};
+use redwinggrade::connection::caller::{self, Handler, MAX_BODY};
+use redwinggrade::connection::server::Server;
 use redwinggrade::request::answer::{Answer, Coverage, Extra, Refusal};
 use redwinggrade::request::ask::Ask;
 use redwinggrade::wire::Version;
@@ -61,7 +62,7 @@
         .await
         .expect("a free port exists");
     (
-        Server::spawn(listener, Arc::clone(&handler)).expect("the listener is bound"),
+        caller::spawn(listener, Arc::clone(&handler)).expect("the listener is bound"),
         handler,
     )
 }
