--- a/src/process/control.rs
+++ b/src/process/control/state.rs
@@ -1,213 +1,32 @@
-//! The actor that owns what is decided through the store: settings, cell record and permit.
-//!
-//! It feeds the pure state machines [`Cell`] and [`Replica`] with events, carries out their actions,
-//! and publishes a [`View`]. `docs/design.md`, section 5, gives the rule that it serves.
+//! The state of the control actor: what it owns, and how it handles each message.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
-use std::net::SocketAddr;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{Duration, SystemTime};
+use std::sync::atomic::Ordering;
+use std::time::SystemTime;
 
-use arc_swap::ArcSwap;
 use bytes::Bytes;
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
-use serde::{Deserialize, Serialize};
-use tokio::task::JoinHandle;
-
-use super::cell::{self, Cell, Heads, LIVE, Swapped};
-use super::gateway::Gateway;
-use super::metrics::Metrics;
-use super::record;
-use super::view::{Assignment, Reported, Sources, View};
+
+use super::{
+    Config, FOREIGN_EXCHANGE, MEMBERS, Message, PERMIT_LOST, REBUILD, RECORDS, SETTINGS_PATH,
+    SETTINGS_TIMEOUT, Shared,
+};
 use crate::connection::members::{self, List};
-use crate::connection::peer::{self, Peers};
+use crate::connection::peer;
 use crate::connection::settings;
 use crate::connection::store::{self, Outcome, Store};
-use crate::time::{Clock, Moment};
+use crate::process::cell::{self, Cell, Heads, Swapped};
+use crate::process::record;
+use crate::process::view::{Assignment, Reported, Sources, View};
+use crate::time::Moment;
 use crate::version::acceptance::{Roster, Sighting, Status};
 use crate::version::log as layout;
 use crate::version::replica::{self, Deltas, Replica};
 use crate::wire::exchange::Record;
-use crate::wire::{Exchange, Incarnation, Member, Report};
-
-/// The path of an exchange between nodes.
-pub const EXCHANGE_PATH: &str = "/peer/exchange";
-/// The path on which a node gives settings to a peer.
-pub const SETTINGS_PATH: &str = "/peer/settings";
-/// The path on which a node gives the records of other cells to a peer.
-pub const RECORDS_PATH: &str = "/peer/records";
-
-/// The resolution of the state machines' timers.
-const TICK: Duration = Duration::from_millis(25);
-/// The time allowed for an exchange; a later answer still counts from its sending, but would be old.
-const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(600);
-/// Period of exchanges with the members of other cells, which carry summaries of their targets.
-const FOREIGN_EXCHANGE: Duration = Duration::from_millis(300);
-/// Period of asking a peer for the records of other cells.
-const RECORDS: Duration = Duration::from_millis(600);
-/// Period of reading the membership list.
-const MEMBERS: Duration = Duration::from_secs(1);
-/// The least time between two views, so that many small changes cost one rebuild.
-const REBUILD: Duration = Duration::from_millis(50);
-/// How long a permit must be missing before a log line says so.
-const PERMIT_LOST: Duration = Duration::from_millis(250);
-/// The time allowed for fetching settings from a peer.
-const SETTINGS_TIMEOUT: Duration = Duration::from_secs(2);
-
-/// The cell records that a peer knows, by their revisions.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Known(pub Vec<(String, u64)>);
-
-/// Cell records that are newer than the ones in [`Known`].
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Newer(pub Vec<(String, Record)>);
-
-/// The messages of the actor.
-#[derive(Debug)]
-pub enum Message {
-    /// Time has passed.
-    Tick,
-    /// A read of the store ended.
-    Heads(Moment, Result<record::Heads, store::Error>),
-    /// A compare-and-swap of the cell record ended.
-    Swapped(Option<u64>, Result<Outcome, store::Error>),
-    /// A peer answered an exchange that was sent at the moment.
-    Report(Moment, Report),
-    /// A peer did not answer an exchange.
-    NoReport(String),
-    /// A peer asks for an exchange.
-    Exchange(Exchange, RpcReplyPort<Report>),
-    /// A peer asks for cell records.
-    Records(Known, RpcReplyPort<Newer>),
-    /// A peer gave cell records.
-    Newer(Newer),
-    /// A peer asks for settings after a version.
-    Deltas(u64, RpcReplyPort<Deltas>),
-    /// Something happened to the settings replica.
-    Settings(replica::Event),
-    /// The membership list was read.
-    Members(Result<Option<List>, members::Error>),
-    /// Somebody asks for the status.
-    Status(RpcReplyPort<Status>),
-    /// The node will stop as planned; peers leave it out of address lists.
-    Announce,
-    /// The node leaves its cell.
-    Leave,
-}
-
-/// What the actor needs to start.
-#[derive(Debug)]
-pub struct Config {
-    /// The node itself.
-    pub me: Member,
-    /// The node's cell.
-    pub cell: String,
-    /// The node's data centre.
-    pub data_centre: String,
-    /// The platform's store.
-    pub store: Vec<SocketAddr>,
-    /// The platform's membership list.
-    pub members: SocketAddr,
-    /// The clock of the process.
-    pub clock: Clock,
-    /// The counters of the process.
-    pub metrics: Metrics,
-    /// The connections to other nodes.
-    pub peers: Peers,
-    /// The gateway of the node.
-    pub gateway: Gateway,
-}
-
-/// The handle of the running actor.
-#[derive(Debug)]
-pub struct Control {
-    actor: ActorRef<Message>,
-    task: JoinHandle<()>,
-    shared: Arc<Shared>,
-}
-
-/// What the actor publishes.
-#[derive(Debug, Default)]
-struct Shared {
-    view: ArcSwap<View>,
-    permit_until: AtomicU64,
-}
-
-impl Control {
-    /// Starts the actor.
-    pub async fn spawn(config: Config) -> Result<Self, ractor::SpawnErr> {
-        let shared = Arc::<Shared>::default();
-        let (actor, task) = Actor::spawn(None, Worker, (config, Arc::clone(&shared))).await?;
-        actor.send_interval(TICK, || Message::Tick);
-        Ok(Self {
-            actor,
-            task,
-            shared,
-        })
-    }
-
-    /// Returns the newest view.
-    pub fn view(&self) -> arc_swap::Guard<Arc<View>> {
-        self.shared.view.load()
-    }
-
-    /// Tells whether the node may take new work now.
-    pub fn has_permit(&self, now: Moment) -> bool {
-        now < Moment::from_micros(self.shared.permit_until.load(Ordering::Acquire))
-    }
-
-    /// Answers an exchange of a peer; nothing if the actor has ended.
-    pub async fn exchange(&self, exchange: Exchange) -> Option<Report> {
-        self.ask(|reply| Message::Exchange(exchange, reply)).await
-    }
-
-    /// Gives cell records to a peer.
-    pub async fn records(&self, known: Known) -> Option<Newer> {
-        self.ask(|reply| Message::Records(known, reply)).await
-    }
-
-    /// Gives settings to a peer.
-    pub async fn deltas(&self, since: u64) -> Option<Deltas> {
-        self.ask(|reply| Message::Deltas(since, reply)).await
-    }
-
-    /// Returns the status.
-    pub async fn status(&self) -> Option<Status> {
-        self.ask(Message::Status).await
-    }
-
-    /// Tells peers that callers should no longer be sent here; the node goes on serving.
-    pub fn announce_stop(&self) {
-        // An actor that has ended serves nobody.
-        let _ended = self.actor.cast(Message::Announce);
-    }
-
-    /// Leaves the cell; from now on the node gets no permit.
-    pub fn leave(&self) {
-        // An actor that has ended has left already.
-        let _ended = self.actor.cast(Message::Leave);
-    }
-
-    async fn ask<T, F>(&self, message: F) -> Option<T>
-    where
-        T: Send + 'static,
-        F: FnOnce(RpcReplyPort<T>) -> Message,
-    {
-        match self.actor.call(message, None).await {
-            Ok(ractor::rpc::CallResult::Success(answer)) => Some(answer),
-            _ => None,
-        }
-    }
-}
+use crate::wire::{Incarnation, Member};
 
-impl Drop for Control {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
-struct Worker;
+pub(super) struct Worker;
 
 /// Starts the node outside its cell's record.
 fn join(config: &Config, settings: u64, now: Moment) -> Cell {
@@ -222,52 +41,52 @@
 
 /// What the node knows of another node apart from its cell's rule.
 #[derive(Debug)]
-struct Contact {
-    member: Member,
+pub(super) struct Contact {
+    pub(super) member: Member,
     /// The mark up to which its summaries are known.
-    mark: u64,
-    heard: Moment,
-    stopping: bool,
+    pub(super) mark: u64,
+    pub(super) heard: Moment,
+    pub(super) stopping: bool,
 }
 
 #[expect(
     clippy::struct_excessive_bools,
     reason = "the flags are independent of each other"
 )]
-struct State {
-    config: Config,
-    shared: Arc<Shared>,
-    myself: ActorRef<Message>,
-    store: Arc<Store>,
-    cell: Cell,
-    replica: Replica,
+pub(super) struct State {
+    pub(super) config: Config,
+    pub(super) shared: Arc<Shared>,
+    pub(super) myself: ActorRef<Message>,
+    pub(super) store: Arc<Store>,
+    pub(super) cell: Cell,
+    pub(super) replica: Replica,
     /// Shared with the reads under way, because at 58,000 targets a copy costs tens of megabytes.
-    list: Arc<List>,
+    pub(super) list: Arc<List>,
     /// The store's revision up to which all cell records are known.
-    read_to: u64,
+    pub(super) read_to: u64,
     /// The records of all cells; of the own cell as the state machine has adopted it.
-    records: BTreeMap<String, Record>,
+    pub(super) records: BTreeMap<String, Record>,
     /// The modification revision of the own cell's record as last read.
-    own: Option<(Record, u64)>,
-    contacts: HashMap<String, Contact>,
-    summaries: HashMap<String, Reported>,
+    pub(super) own: Option<(Record, u64)>,
+    pub(super) contacts: HashMap<String, Contact>,
+    pub(super) summaries: HashMap<String, Reported>,
     /// Since when each incarnation is known as a member of its cell.
-    joined: HashMap<(String, Incarnation), Moment>,
-    own_mark: u64,
-    assignment: Assignment,
+    pub(super) joined: HashMap<(String, Incarnation), Moment>,
+    pub(super) own_mark: u64,
+    pub(super) assignment: Assignment,
     /// Whether nothing is dispatched until the gates know a change.
-    suspended: bool,
-    announced: bool,
-    leaving: bool,
-    permitted: bool,
+    pub(super) suspended: bool,
+    pub(super) announced: bool,
+    pub(super) leaving: bool,
+    pub(super) permitted: bool,
     /// Since when the node has had no permit, until that was logged.
-    unpermitted: Option<Moment>,
-    store_reachable: bool,
-    next_foreign: Moment,
-    next_records: Moment,
-    next_members: Moment,
-    next_view: Moment,
-    dirty: bool,
+    pub(super) unpermitted: Option<Moment>,
+    pub(super) store_reachable: bool,
+    pub(super) next_foreign: Moment,
+    pub(super) next_records: Moment,
+    pub(super) next_members: Moment,
+    pub(super) next_view: Moment,
+    pub(super) dirty: bool,
 }
 
 impl Actor for Worker {
@@ -390,7 +209,7 @@
         }
     }
 
-    fn cell_step(&mut self, event: cell::Event, now: Moment) {
+    pub(super) fn cell_step(&mut self, event: cell::Event, now: Moment) {
         let actions = self.cell.step(event, now);
         if actions.contains(&cell::Action::Changed) {
             self.suspend();
@@ -429,7 +248,7 @@
         }
     }
 
-    fn replica_step(&mut self, event: replica::Event, now: Moment) {
+    pub(super) fn replica_step(&mut self, event: replica::Event, now: Moment) {
         for action in self.replica.step(event, now) {
             match action {
                 replica::Action::ReadEntries { first, last } => {
@@ -594,178 +413,6 @@
         self.cell_step(cell::Event::Swapped { expected, outcome }, now);
     }
 
-    fn send_exchange(&mut self, peer: Member, mut exchange: Exchange) {
-        exchange.since = self.contact(&peer).mark;
-        let (peers, myself) = (self.config.peers.clone(), self.myself.clone());
-        let clock = self.config.clock;
-        tokio::spawn(async move {
-            let sent = clock.now();
-            let answer: Result<Report, peer::Error> = peers
-                .call(peer.peer, EXCHANGE_PATH, &exchange, EXCHANGE_TIMEOUT)
-                .await;
-            let message = match answer {
-                Ok(report) => Message::Report(sent, report),
-                Err(_) => Message::NoReport(peer.name),
-            };
-            send(&myself, message);
-        });
-    }
-
-    fn exchange_foreign(&mut self) {
-        let foreign: Vec<Member> = self
-            .records
-            .iter()
-            .filter(|(cell, _)| **cell != self.config.cell)
-            .flat_map(|(_, record)| record.members.iter().cloned())
-            .collect();
-        for member in foreign {
-            let exchange = Exchange {
-                from: self.config.me.clone(),
-                cell: self.config.cell.clone(),
-                revision: self.cell.revision(),
-                since: 0,
-            };
-            self.send_exchange(member, exchange);
-        }
-    }
-
-    fn exchange(&mut self, exchange: Exchange, reply: RpcReplyPort<Report>, now: Moment) {
-        let mut report = self.cell.report(&exchange, now);
-        (report.targets, report.mark) = self.config.gateway.summaries(exchange.since);
-        report.stopping |= self.announced;
-        // Only the status of this node itself shows what it has seen.
-        report.seen.clear();
-        answer(reply, report);
-        self.contact(&exchange.from);
-        let (peer, version) = (exchange.from.name.clone(), exchange.revision.settings);
-        self.replica_step(replica::Event::Peer { peer, version }, now);
-        self.cell_step(cell::Event::Asked(exchange), now);
-    }
-
-    fn reported(&mut self, sent: Moment, report: Report, now: Moment) {
-        let from = report.from.clone();
-        let contact = self.contact(&from);
-        contact.heard = contact.heard.max(sent);
-        contact.mark = report.mark;
-        let stopping = std::mem::replace(&mut contact.stopping, report.stopping);
-        self.dirty |= stopping != report.stopping || !report.targets.is_empty();
-        for summary in &report.targets {
-            let reported = Reported {
-                by: from.clone(),
-                summary: summary.clone(),
-            };
-            self.summaries.insert(summary.target.clone(), reported);
-        }
-        let version = report.revision.settings;
-        self.replica_step(
-            replica::Event::Peer {
-                peer: from.name,
-                version,
-            },
-            now,
-        );
-        if report.cell == self.config.cell {
-            self.cell_step(cell::Event::Answer { sent, report }, now);
-        }
-    }
-
-    /// Returns what is known of a node; a new incarnation starts with nothing.
-    fn contact(&mut self, member: &Member) -> &mut Contact {
-        let now = self.config.clock.now();
-        let fresh = || Contact {
-            member: member.clone(),
-            mark: 0,
-            heard: now,
-            stopping: false,
-        };
-        let contact = self
-            .contacts
-            .entry(member.name.clone())
-            .or_insert_with(fresh);
-        if contact.member != *member && contact.member.incarnation <= member.incarnation {
-            *contact = fresh();
-        }
-        contact
-    }
-
-    fn take_summaries(&mut self) {
-        let (changed, mark) = self.config.gateway.summaries(self.own_mark);
-        self.own_mark = mark;
-        self.dirty |= !changed.is_empty();
-        for summary in changed {
-            let reported = Reported {
-                by: self.config.me.clone(),
-                summary,
-            };
-            self.summaries
-                .insert(reported.summary.target.clone(), reported);
-        }
-    }
-
-    fn ask_records(&self, now: Moment) {
-        // Peers of the own cell that answer take turns.
-        let peers: Vec<&Contact> = self
-            .cell
-            .record()
-            .into_iter()
-            .flat_map(|record| &record.members)
-            .filter_map(|member| self.contacts.get(&member.name))
-            .filter(|contact| now.since(contact.heard) < LIVE)
-            .collect();
-        let turn = now.as_micros() / u64::try_from(RECORDS.as_micros()).unwrap_or(u64::MAX);
-        let Some(contact) = peers.get(turn as usize % peers.len().max(1)) else {
-            return;
-        };
-        let known = self.records.iter();
-        let known = Known(
-            known
-                .map(|(cell, it)| (cell.clone(), it.revision))
-                .collect(),
-        );
-        let (connections, myself) = (self.config.peers.clone(), self.myself.clone());
-        let address = contact.member.peer;
-        tokio::spawn(async move {
-            let answer = connections
-                .call(address, RECORDS_PATH, &known, EXCHANGE_TIMEOUT)
-                .await;
-            if let Ok(newer) = answer {
-                send(&myself, Message::Newer(newer));
-            }
-        });
-    }
-
-    fn newer(&self, known: &Known) -> Newer {
-        let known: HashMap<&str, u64> = known
-            .0
-            .iter()
-            .map(|(cell, revision)| (cell.as_str(), *revision))
-            .collect();
-        let newer = self.records.iter().filter(|(cell, record)| {
-            known
-                .get(cell.as_str())
-                .is_none_or(|it| *it < record.revision)
-        });
-        Newer(
-            newer
-                .map(|(cell, record)| (cell.clone(), record.clone()))
-                .collect(),
-        )
-    }
-
-    fn adopt_records(&mut self, records: Vec<(String, Record)>) {
-        for (cell, record) in records {
-            // The own cell's record is the state machine's; it gets it by exchanges and reads.
-            let newer = self
-                .records
-                .get(&cell)
-                .is_none_or(|it| it.revision < record.revision);
-            if cell != self.config.cell && newer {
-                self.records.insert(cell, record);
-                self.dirty = true;
-            }
-        }
-    }
-
     fn read_members(&self) {
         let (list, address) = (Arc::clone(&self.list), self.config.members);
         let myself = self.myself.clone();
@@ -870,43 +517,6 @@
         });
         self.shared.view.store(Arc::new(view));
     }
-
-    /// Notes since when each incarnation is a member, for the slow start of new ones.
-    fn note_members(&mut self, now: Moment) {
-        // At its own start a node cannot tell who is new, so that everybody counts as old.
-        let now = if self.joined.is_empty() {
-            Moment::ZERO
-        } else {
-            now
-        };
-        let members = self.records.values().flat_map(|record| &record.members);
-        let keys = members.map(|member| (member.name.clone(), member.incarnation));
-        let before = std::mem::take(&mut self.joined);
-        self.joined = keys
-            .map(|key| {
-                let since = before.get(&key).copied().unwrap_or(now);
-                (key, since)
-            })
-            .collect();
-    }
-
-    /// Returns the nodes that have not answered lately.
-    fn unseen(&self, now: Moment) -> HashSet<&str> {
-        let contacts = self.contacts.values();
-        contacts
-            .filter(|contact| now.since(contact.heard) >= LIVE)
-            .map(|contact| contact.member.name.as_str())
-            .collect()
-    }
-
-    /// Returns the nodes that have announced their stop.
-    fn stopping(&self) -> HashSet<&str> {
-        let contacts = self.contacts.values();
-        contacts
-            .filter(|contact| contact.stopping)
-            .map(|contact| contact.member.name.as_str())
-            .collect()
-    }
 }
 
 fn settings_version(head: Option<&Bytes>) -> Option<u64> {
@@ -918,12 +528,12 @@
     }
 }
 
-fn answer<T>(reply: RpcReplyPort<T>, value: T) {
+pub(super) fn answer<T>(reply: RpcReplyPort<T>, value: T) {
     // A peer that no longer waits asks again with its next exchange.
     let _gone = reply.send(value);
 }
 
-fn send(actor: &ActorRef<Message>, message: Message) {
+pub(super) fn send(actor: &ActorRef<Message>, message: Message) {
     // The actor ends only with the process.
     let _ended = actor.cast(message);
 }
