Avoid gateways that give no results

A frozen gateway keeps its connections open, and exchanges show it only after about a second; until then legs to it were lost.

--- a/src/process/coordinator.rs
+++ b/src/process/coordinator.rs
@@ -185,8 +185,9 @@
         }
         let (peers, reply) = (coordinator.peers.clone(), self.reply.clone());
         let timeout = remaining + STREAM_MARGIN;
+        let watch = Watch::open(coordinator, &gateway.name);
         self.streams.spawn(async move {
-            stream(&peers, &gateway, &batch, timeout, &reply).await;
+            stream(&peers, &gateway, &batch, timeout, &reply, &watch).await;
         });
     }
 
@@ -235,6 +236,43 @@
     });
 }
 
+/// Tells the other queries of the node how a gateway does for as long as a batch is under way.
+#[derive(Debug)]
+struct Watch {
+    hedge: Arc<Mutex<Hedge>>,
+    gateway: String,
+    clock: Clock,
+}
+
+impl Watch {
+    fn open(coordinator: &Coordinator, gateway: &str) -> Self {
+        let watch = Self {
+            hedge: Arc::clone(&coordinator.hedge),
+            gateway: gateway.to_owned(),
+            clock: coordinator.clock,
+        };
+        watch.hedge().silence.sent(gateway, watch.clock.now());
+        watch
+    }
+
+    fn heard(&self) {
+        let now = self.clock.now();
+        self.hedge().silence.heard(&self.gateway, now);
+    }
+
+    fn hedge(&self) -> std::sync::MutexGuard<'_, Hedge> {
+        self.hedge
+            .lock()
+            .expect("no code panics while it holds the budgets")
+    }
+}
+
+impl Drop for Watch {
+    fn drop(&mut self) {
+        self.hedge().silence.ended(&self.gateway);
+    }
+}
+
 /// Reads the results of a batch; each leg that the gateway gives no result for fails.
 async fn stream(
     peers: &Peers,
@@ -242,12 +280,14 @@
     batch: &Batch,
     timeout: Duration,
     reply: &mpsc::UnboundedSender<Frame>,
+    watch: &Watch,
 ) {
     let mut missing: Vec<u32> = batch.legs.iter().map(|leg| leg.number).collect();
     let reason = match peers.scatter(gateway.peer, batch, timeout).await {
         Ok(mut frames) => loop {
             match frames.next().await {
                 Some(Ok(frame)) => {
+                    watch.heard();
                     missing.retain(|leg| *leg != frame.leg);
                     if reply.send(frame).is_err() {
                         return;
--- a/src/request/hedge.rs
+++ b/src/request/hedge.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::silence::Silence;
 use crate::time::Moment;
 use crate::wire::Load;
 
@@ -46,6 +47,8 @@
     services: HashMap<Arc<str>, Service>,
     hedges: Budget,
     retries: Budget,
+    /// Gateways that give no results.
+    pub silence: Silence,
 }
 
 impl Hedge {
@@ -56,6 +59,7 @@
             services: HashMap::new(),
             hedges: Budget::open(),
             retries: Budget::open(),
+            silence: Silence::default(),
         }
     }
 
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -11,4 +11,5 @@
 pub mod merge;
 pub mod once;
 pub mod scatter;
+pub mod silence;
 pub mod snapshot;
--- a/src/request/scatter.rs
+++ b/src/request/scatter.rs
@@ -338,10 +338,20 @@
             // Each shard breaks ties in its own way, so that one query spreads over replicas.
             seed: self.seed.wrapping_add(u64::from(shard.number)),
         };
-        choice::pick(step.directory, replicas, preference, |target: &Target| {
-            let asked = |&leg: &u32| self.legs[leg as usize].target == target.name;
-            shard.legs.iter().any(asked)
+        let asked = |target: &Target| {
+            let same = |&leg: &u32| self.legs[leg as usize].target == target.name;
+            shard.legs.iter().any(same)
+        };
+        let silent = |target: &Target| {
+            let silence = &step.hedge.silence;
+            let gateway = target.gateway.as_ref();
+            gateway.is_some_and(|gateway| silence.is_silent(&gateway.name, step.now))
+        };
+        choice::pick(step.directory, replicas, preference, |target| {
+            asked(target) || silent(target)
         })
+        // A silent gateway is better than none.
+        .or_else(|| choice::pick(step.directory, replicas, preference, asked))
     }
 
     fn send(&mut self, at: usize, key: TargetKey, cause: Cause, step: &mut Step<'_>) {
