Drop a report field that was always cleared, and a gauge that was set twice

Each exchange built the list of what the node had seen, which only the status shows, and cleared it before sending. The gateway sets the number of owned targets itself.

--- a/src/process/cell.rs
+++ b/src/process/cell.rs
@@ -531,7 +531,6 @@
                 .is_some_and(|list| now.since(list.since) >= GRACE),
             targets: Vec::new(),
             mark: 0,
-            seen: self.seen(now),
         }
     }
 
--- a/src/process/control/exchange.rs
+++ b/src/process/control/exchange.rs
@@ -59,8 +59,6 @@
         let mut report = self.cell.report(&exchange, now);
         (report.targets, report.mark) = self.config.gateway.summaries(exchange.since);
         report.stopping |= self.announced;
-        // Only the status of this node itself shows what it has seen.
-        report.seen.clear();
         answer(reply, report);
         self.contact(&exchange.from);
         let (peer, version) = (exchange.from.name.clone(), exchange.revision.settings);
--- a/src/process/control/state.rs
+++ b/src/process/control/state.rs
@@ -494,10 +494,6 @@
         let place = (self.config.data_centre.as_str(), self.config.cell.as_str());
         let basis = self.cell.owned_basis();
         let owned = self.assignment.owned(&self.list, &tree, place, &basis, now);
-        self.config
-            .metrics
-            .owned_targets
-            .set(owned.len().cast_signed() as i64);
         if let Err(e) = self.config.gateway.own(owned).await {
             log::error!(error:% = e; "a target's gateway could not be started");
             self.dirty = true;
--- a/src/wire/exchange.rs
+++ b/src/wire/exchange.rs
@@ -67,8 +67,6 @@
     pub targets: Vec<Summary>,
     /// The receiver's mark after `targets`.
     pub mark: u64,
-    /// For `status`: the members of the receiver's cell with the revision that each last reported.
-    pub seen: Vec<Seen>,
     /// Whether this incarnation of the receiver dispatches nothing to targets any more, so that the
     /// members that gain its targets need not wait for its permit to expire.
     #[serde(default)]
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -107,7 +107,6 @@
             settled: self.settled,
             targets: Vec::new(),
             mark: 0,
-            seen: Vec::new(),
         }
     }
 }
