--- a/src/connection/caller.rs
+++ b/src/connection/caller.rs
@@ -13,7 +13,7 @@
 use hyper::{HeaderMap, Method, Request, Response};
 use tokio::net::TcpListener;
 
-use super::server::{Limits, Server};
+use super::server::{HEAD_BYTES, Limits, Server};
 use crate::request::answer::Refusal;
 use crate::request::ask::Ask;
 use crate::wire::Reason;
@@ -27,7 +27,8 @@
 pub const MAX_DEADLINE: Duration = Duration::from_mins(1);
 /// Callers keep their connections between requests, so many of them are idle.
 const LIMITS: Limits = Limits {
-    head: Duration::from_secs(30),
+    idle: Duration::from_secs(30),
+    head_bytes: HEAD_BYTES,
     connections: 10_000,
 };
 
@@ -51,10 +52,14 @@
 where
     H: Handler,
 {
-    Server::spawn(listener, LIMITS, move |request| {
-        let handler = Arc::clone(&handler);
-        async move { serve(request, &*handler).await }
-    })
+    Server::spawn(
+        listener,
+        || LIMITS,
+        move |request| {
+            let handler = Arc::clone(&handler);
+            async move { serve(request, &*handler).await }
+        },
+    )
 }
 
 async fn serve<H>(request: Request<Incoming>, handler: &H) -> Response<Full<Bytes>>
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -2,8 +2,11 @@
 
 pub mod admin;
 pub mod caller;
+pub mod exchange;
+pub mod keyspace;
 pub mod members;
 pub mod operator;
+pub mod outbound;
 pub mod peer;
 pub mod server;
 pub mod settings;
--- a/src/connection/operator.rs
+++ b/src/connection/operator.rs
@@ -10,11 +10,12 @@
 use hyper::{Method, Request, Response, StatusCode};
 use tokio::net::TcpListener;
 
-use super::server::{Limits, Server};
+use super::server::{HEAD_BYTES, Limits, Server};
 
 /// A few tools ask a node at a time.
 const LIMITS: Limits = Limits {
-    head: Duration::from_secs(10),
+    idle: Duration::from_secs(10),
+    head_bytes: HEAD_BYTES,
     connections: 100,
 };
 
@@ -32,10 +33,14 @@
 where
     H: Handler,
 {
-    Server::spawn(listener, LIMITS, move |request| {
-        let handler = Arc::clone(&handler);
-        async move { serve(request, &*handler).await }
-    })
+    Server::spawn(
+        listener,
+        || LIMITS,
+        move |request| {
+            let handler = Arc::clone(&handler);
+            async move { serve(request, &*handler).await }
+        },
+    )
 }
 
 async fn serve<H>(request: Request<Incoming>, handler: &H) -> Response<Full<Bytes>>
--- a/src/connection/server.rs
+++ b/src/connection/server.rs
@@ -21,11 +21,19 @@
 /// accepting again at once would only spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
+/// The least bound on heads that the HTTP library takes, in bytes.
+const HEAD_BYTES_MIN: usize = 8 << 10;
+
+/// The usual bound on heads, in bytes.
+pub const HEAD_BYTES: usize = 64 << 10;
+
 /// What bounds a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
-    /// The time within which the head of a request must arrive; it also ends idle connections.
-    pub head: Duration,
+    /// The time within which the next request must come and its head be complete.
+    pub idle: Duration,
+    /// Bytes of the request line and the headers.
+    pub head_bytes: usize,
     /// Connections at once; more are closed at once so that memory stays bounded.
     pub connections: usize,
 }
@@ -40,8 +48,11 @@
 
 impl Server {
     /// Starts to accept connections and hands each request to `answer`.
-    pub fn spawn<A, F>(listener: TcpListener, limits: Limits, answer: A) -> std::io::Result<Self>
+    ///
+    /// Each connection keeps the limits that `limits` returns when it is accepted.
+    pub fn spawn<L, A, F>(listener: TcpListener, limits: L, answer: A) -> std::io::Result<Self>
     where
+        L: Fn() -> Limits + Send + 'static,
         A: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
         F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
     {
@@ -75,13 +86,14 @@
     }
 }
 
-async fn accept<A, F>(listener: TcpListener, limits: Limits, answer: A, stop: CancellationToken)
+async fn accept<L, A, F>(listener: TcpListener, limits: L, answer: A, stop: CancellationToken)
 where
+    L: Fn() -> Limits + Send + 'static,
     A: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
 {
     let graceful = GracefulShutdown::new();
-    let connections = Arc::new(Semaphore::new(limits.connections));
+    let connections = Arc::new(Semaphore::new(limits().connections));
     loop {
         let stream = tokio::select! {
             () = stop.cancelled() => break,
@@ -96,6 +108,7 @@
         };
         // Without this option answers are only slower.
         let _ = stream.set_nodelay(true);
+        let limits = limits();
         let answer = answer.clone();
         let service = service_fn(move |request| {
             let response = answer(request);
@@ -103,7 +116,8 @@
         });
         let connection = hyper::server::conn::http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(limits.head)
+            .header_read_timeout(limits.idle)
+            .max_buf_size(limits.head_bytes.max(HEAD_BYTES_MIN))
             .serve_connection(TokioIo::new(stream), service);
         let connection = graceful.watch(connection);
         tokio::spawn(async move {
--- /dev/null
+++ b/src/process/budget.rs
@@ -0,0 +1,84 @@
+//! A node's share of the extra requests that all nodes together may send to one service.
+//!
+//! The bound holds for a sliding window over all nodes: `ratio` times the requests for the service plus
+//! `slack`. A token bucket that earns `ratio` per request and holds the node's share of the slack keeps
+//! its part of the bound in every window, whatever the other nodes do.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// The bound for one service over all nodes.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Bound {
+    /// Extra requests for each request of a caller.
+    pub ratio: f64,
+    /// Extra requests beside those.
+    pub slack: f64,
+}
+
+/// The part of the bound that is used. Requests that a stopped process counted, and an instance that
+/// is not known yet, take the rest.
+const USED: f64 = 0.85;
+
+/// The part of its share with which a process starts, because the run before it may have spent one.
+const START: f64 = 0.5;
+
+/// The tokens of each service.
+#[derive(Debug)]
+pub struct Budget {
+    bound: Bound,
+    nodes: usize,
+    tokens: HashMap<Arc<str>, f64>,
+}
+
+impl Budget {
+    /// Opens the budget of a node that knows no other one.
+    pub fn open(bound: Bound, nodes: usize) -> Self {
+        Self {
+            bound,
+            nodes: nodes.max(1),
+            tokens: HashMap::new(),
+        }
+    }
+
+    /// Sets the number of nodes that share the bound.
+    pub fn share(&mut self, nodes: usize) {
+        self.nodes = nodes.max(1);
+    }
+
+    /// Counts a request of a caller for a service.
+    pub fn earn(&mut self, service: &Arc<str>) {
+        let most = self.most();
+        let earned = self.bound.ratio * USED;
+        if let Some(tokens) = self.tokens.get_mut(service) {
+            *tokens = (*tokens + earned).min(most);
+        } else {
+            self.tokens
+                .insert(Arc::clone(service), (most * START + earned).min(most));
+        }
+    }
+
+    /// Takes the token for one extra request, if there is one.
+    pub fn take(&mut self, service: &str) -> bool {
+        match self.tokens.get_mut(service) {
+            Some(tokens) if *tokens >= 1.0 => {
+                *tokens -= 1.0;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Gives back the token of an extra request that was not sent.
+    pub fn refund(&mut self, service: &str) {
+        if let Some(tokens) = self.tokens.get_mut(service) {
+            *tokens += 1.0;
+        }
+    }
+
+    /// Returns the most tokens that one service's bucket holds.
+    fn most(&self) -> f64 {
+        // Less than one token could never be spent.
+        (self.bound.slack * USED / self.nodes as f64).max(1.0)
+    }
+}
--- /dev/null
+++ b/src/process/entry.rs
@@ -0,0 +1,304 @@
+//! An entry instance that reaches targets directly: what callers, other nodes and the platform meet.
+//!
+//! The decisions are elsewhere: [`Fanout`] runs a request, [`Placement`] chooses targets, [`Roster`]
+//! knows the nodes, [`follow`] keeps up with the store. This module ties them to time and sockets.
+
+mod control;
+mod serve;
+
+use std::collections::HashMap;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use anyhow::Context;
+use arc_swap::ArcSwapOption;
+use ractor::ActorRef;
+use rand::Rng;
+
+use super::budget::{Bound, Budget};
+use super::mirror::{Copy, Mirror};
+use super::placement::Placement;
+use super::roster::Roster;
+use crate::connection::keyspace::Keyspace;
+use crate::connection::outbound::{Call, Pool, Protocol};
+use crate::request::latency::Latency;
+use crate::time::{Clock, Moment};
+use crate::version::change::{Dialect, Node};
+use crate::version::route::{Kind, Limits, Route, Table};
+
+/// How long callers may keep an address list. Some keep it three times as long, which a planned stop
+/// waits for.
+pub const KEEP: Duration = Duration::from_secs(1);
+/// How long a node serves after it left the address lists.
+pub const LEAVING: Duration = Duration::from_millis(3_400);
+/// Time at the end of the platform's grace that is kept for the exit itself.
+pub const EXIT_MARGIN: Duration = Duration::from_millis(500);
+
+/// What an entry instance is told at its start.
+#[derive(Debug, Clone)]
+pub struct Config {
+    /// Where this node can be reached.
+    pub node: Node,
+    /// Hosts on which other nodes may run.
+    pub seeds: Vec<SocketAddr>,
+    /// The bound on extra requests.
+    pub bound: Bound,
+    /// How long a planned stop may take.
+    pub grace: Duration,
+}
+
+/// The adapters of a platform.
+#[derive(Debug)]
+pub struct Platform<K, P, D> {
+    /// The store.
+    pub keyspace: Arc<K>,
+    /// How targets are called.
+    pub protocol: P,
+    /// What the store's items mean.
+    pub dialect: D,
+}
+
+/// A request of a caller.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    /// The host that the caller named.
+    pub host: String,
+    /// What goes to targets.
+    pub call: Call,
+    /// How long the caller waits.
+    pub patience: Option<Duration>,
+}
+
+/// The handle of a running entry instance.
+#[derive(Debug)]
+pub struct Entry<P> {
+    shared: Arc<Shared<P>>,
+    control: ActorRef<control::Message>,
+}
+
+impl<P> Clone for Entry<P> {
+    fn clone(&self) -> Self {
+        Self {
+            shared: Arc::clone(&self.shared),
+            control: self.control.clone(),
+        }
+    }
+}
+
+/// What all requests of a node share.
+#[derive(Debug)]
+struct Shared<P> {
+    config: Config,
+    clock: Clock,
+    protocol: P,
+    table: ArcSwapOption<Table>,
+    placement: Mutex<Placement>,
+    pool: Pool,
+    roster: Mutex<Roster>,
+    mirrors: Mutex<Vec<Mirror>>,
+    estimates: Mutex<HashMap<Arc<str>, Estimate>>,
+    /// Until when the table is known to be the newest one, in microseconds of the clock.
+    fresh_until: AtomicU64,
+    stopping: AtomicBool,
+    running: AtomicUsize,
+}
+
+/// How long legs of a route take.
+#[derive(Debug)]
+struct Estimate {
+    mean: Duration,
+    high: Latency,
+}
+
+impl Estimate {
+    /// Legs after which gathers hedge, as one in this number. A query over twenty shards is late if one
+    /// leg is, and the budget bears a leg in six.
+    const GATHER_ABOVE: u16 = 10;
+    /// The same for requests to one target.
+    const SINGLE_ABOVE: u16 = 20;
+    /// The weight of one latency in the mean, as one in this number.
+    const WEIGHT: u32 = 32;
+    /// The shortest time after which a leg is hedged.
+    const HEDGE_MIN: Duration = Duration::from_millis(8);
+
+    fn new(route: &Route, shards: usize) -> Self {
+        let above = if shards > 1 {
+            Self::GATHER_ABOVE
+        } else {
+            Self::SINGLE_ABOVE
+        };
+        Self {
+            mean: route.objective / 6,
+            high: Latency::above(above),
+        }
+    }
+
+    fn record(&mut self, took: Duration) {
+        self.mean = (self.mean * (Self::WEIGHT - 1) + took) / Self::WEIGHT;
+        self.high.record(took);
+    }
+
+    fn hedge(&self, route: &Route) -> Duration {
+        let most = (route.objective * 9 / 20).max(Self::HEDGE_MIN);
+        self.high
+            .percentile()
+            .unwrap_or(route.objective / 3)
+            .clamp(Self::HEDGE_MIN, most)
+    }
+}
+
+impl<P> Entry<P>
+where
+    P: Protocol,
+{
+    /// Starts an entry instance.
+    pub async fn spawn<K, D>(config: Config, platform: Platform<K, P, D>) -> anyhow::Result<Self>
+    where
+        K: Keyspace,
+        D: Dialect,
+    {
+        let clock = Clock::start();
+        let dialect: Arc<dyn Dialect> = Arc::new(platform.dialect);
+        let budget = Budget::open(config.bound, config.seeds.len());
+        let placement = Placement::open(
+            Arc::from(config.node.data_centre.as_str()),
+            budget,
+            &config.node.name,
+            rand::rng().random(),
+        );
+        let mirrors = dialect
+            .prefixes()
+            .iter()
+            .map(|&prefix| Mirror::open(prefix));
+        let shared = Arc::new(Shared {
+            clock,
+            protocol: platform.protocol,
+            table: ArcSwapOption::empty(),
+            placement: Mutex::new(placement),
+            pool: Pool::open(clock),
+            roster: Mutex::default(),
+            mirrors: Mutex::new(mirrors.collect()),
+            estimates: Mutex::default(),
+            fresh_until: AtomicU64::new(0),
+            stopping: AtomicBool::new(false),
+            running: AtomicUsize::new(0),
+            config,
+        });
+        let control = control::spawn(Arc::clone(&shared), &platform.keyspace, dialect)
+            .await
+            .context("cannot start the control actor")?;
+        Ok(Self { shared, control })
+    }
+
+    /// Returns the limits on what callers send.
+    pub fn limits(&self) -> Limits {
+        let table = self.shared.table.load();
+        table.as_ref().map_or_else(Limits::default, |it| it.limits)
+    }
+
+    /// Tells whether the node takes callers.
+    pub fn ready(&self) -> bool {
+        self.shared.ready()
+    }
+
+    /// Tells whether connections should end after the present request.
+    pub fn closing(&self) -> bool {
+        self.shared.stopping.load(Ordering::Acquire)
+    }
+
+    /// Returns the addresses for a caller in a data centre.
+    pub fn addresses(&self, data_centre: &str) -> Vec<SocketAddr> {
+        let own = self.ready().then_some(&self.shared.config.node);
+        let now = self.shared.clock.now();
+        self.shared
+            .roster()
+            .addresses(data_centre, own, &mut rand::rng(), now)
+    }
+
+    /// Returns copies of the mirrors, for a node that cannot reach the store.
+    pub fn copies(&self) -> Vec<Copy> {
+        self.shared.mirrors().iter().map(Mirror::copy).collect()
+    }
+
+    /// Stops as planned: leaves the address lists, serves for as long as callers keep them, and
+    /// finishes what runs.
+    pub async fn stop(&self) {
+        self.shared.stopping.store(true, Ordering::Release);
+        let start = self.shared.clock.now();
+        self.tell(control::Message::Leave);
+        let end = start + self.shared.config.grace.saturating_sub(EXIT_MARGIN);
+        loop {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            let now = self.shared.clock.now();
+            let running = self.shared.running.load(Ordering::Acquire);
+            if now >= end || (running == 0 && now.since(start) >= LEAVING) {
+                return;
+            }
+        }
+    }
+
+    fn tell(&self, message: control::Message) {
+        // The actor runs as long as the process.
+        let _running = self.control.cast(message);
+    }
+}
+
+impl<P> Shared<P> {
+    fn ready(&self) -> bool {
+        !self.stopping.load(Ordering::Acquire)
+            && self.table.load().is_some()
+            && self.fresh_until.load(Ordering::Acquire) > 0
+    }
+
+    /// Tells whether a route that the table lacks may exist in a newer one.
+    fn is_uncertain(&self, now: Moment) -> bool {
+        now.as_micros() >= self.fresh_until.load(Ordering::Acquire)
+    }
+
+    fn placement(&self) -> MutexGuard<'_, Placement> {
+        self.placement
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn roster(&self) -> MutexGuard<'_, Roster> {
+        self.roster.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn mirrors(&self) -> MutexGuard<'_, Vec<Mirror>> {
+        self.mirrors.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns how long a leg of the route usually takes, and when it is hedged.
+    fn expect(&self, route: &Route, shards: usize) -> (Duration, Duration) {
+        let mut estimates = self
+            .estimates
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let estimate = estimates
+            .entry(Arc::clone(&route.name))
+            .or_insert_with(|| Estimate::new(route, shards));
+        let hedge = match route.kind {
+            Kind::Idempotent => estimate.hedge(route),
+            Kind::Once => route.timeout,
+        };
+        (estimate.mean, hedge)
+    }
+
+    fn record(&self, route: &str, took: Duration) {
+        let mut estimates = self
+            .estimates
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if let Some(estimate) = estimates.get_mut(route) {
+            estimate.record(took);
+        }
+    }
+}
+
+/// Returns the address for datagrams of a node on the host; the port is the same on all instances.
+const fn pulse_of(host: IpAddr, own: SocketAddr) -> SocketAddr {
+    SocketAddr::new(host, own.port())
+}
--- /dev/null
+++ b/src/process/follow.rs
@@ -0,0 +1,329 @@
+//! Keeps a node's mirrors in step with the platform's store, and its record in the store.
+//!
+//! One task renews the node's lease and thereby finds out whether the store answers; one task for each
+//! prefix lists it and then watches it. A watch that is cut, or that says nothing although other nodes
+//! know of changes, is started again from the last revision. While the store does not answer, only the
+//! lease's task calls it, because each call is counted.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::time::Duration;
+
+use rand::Rng;
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout};
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::connection::keyspace::{Batch, Error, Event, Item, Keyspace, Lease, Revision};
+
+/// The longest wait of one watch. A connection that died in silence is noticed after this time at the
+/// latest; longer waits save calls that cost a thousandth of a node each.
+pub const WATCH: Duration = Duration::from_secs(8);
+/// How much longer than its wait a watch may take.
+pub const WATCH_MARGIN: Duration = Duration::from_millis(1_500);
+/// The pause after a watch that brought changes: changes come in series, and each call is counted.
+pub const GATHER: Duration = Duration::from_millis(60);
+/// The lifetime of the lease under which a node publishes itself.
+pub const LEASE: Duration = Duration::from_secs(6);
+/// The period of the lease's renewals.
+pub const RENEW: Duration = Duration::from_millis(1_500);
+/// The time within which a call other than a watch must be answered. The store answers within
+/// milliseconds, and within a quarter of a second when it is slow.
+pub const CALL: Duration = Duration::from_secs(1);
+/// The shortest pause after a call that failed.
+const RETRY_MIN: Duration = Duration::from_millis(150);
+/// The longest pause after a call that failed.
+const RETRY_MAX: Duration = Duration::from_millis(500);
+/// Failed calls in a row after which the store counts as lost.
+const FAILURES: u32 = 2;
+
+/// What the store said.
+#[derive(Debug)]
+pub enum Notice {
+    /// All items under a prefix, complete at the revision.
+    Listed {
+        /// The prefix.
+        prefix: &'static str,
+        /// The items.
+        items: Vec<Item>,
+        /// The revision.
+        revision: Revision,
+    },
+    /// Changes under a prefix.
+    Changed {
+        /// The prefix.
+        prefix: &'static str,
+        /// The changes.
+        events: Vec<Event>,
+        /// Every change up to this revision is among them or among earlier ones.
+        revision: Revision,
+    },
+    /// The store answers again, or no longer.
+    Store {
+        /// Whether it answers.
+        answers: bool,
+        /// Why it does not.
+        cause: Option<Error>,
+    },
+}
+
+/// A running follower; dropping it ends its tasks.
+#[derive(Debug)]
+pub struct Follow {
+    link: Arc<Link>,
+    _tasks: Vec<AbortOnDropHandle<()>>,
+}
+
+/// What the tasks share.
+#[derive(Debug)]
+struct Link {
+    answers: AtomicBool,
+    failures: AtomicU32,
+    stopping: AtomicBool,
+    /// Wakes tasks that wait for the store, and watches that must start again.
+    changed: Notify,
+    /// Wakes the lease's task.
+    renew: Notify,
+}
+
+impl Follow {
+    /// Starts to follow the prefixes, and to publish `record` under a lease.
+    pub fn spawn<K, F>(
+        keyspace: &Arc<K>,
+        prefixes: &[&'static str],
+        record: (String, Vec<u8>),
+        notify: F,
+    ) -> Self
+    where
+        K: Keyspace,
+        F: Fn(Notice) + Clone + Send + Sync + 'static,
+    {
+        let link = Arc::new(Link {
+            answers: AtomicBool::new(true),
+            failures: AtomicU32::new(0),
+            stopping: AtomicBool::new(false),
+            changed: Notify::new(),
+            renew: Notify::new(),
+        });
+        let mut tasks = Vec::with_capacity(prefixes.len() + 1);
+        for &prefix in prefixes {
+            let task = follow(
+                Arc::clone(keyspace),
+                Arc::clone(&link),
+                prefix,
+                notify.clone(),
+            );
+            tasks.push(AbortOnDropHandle::new(tokio::spawn(task)));
+        }
+        let task = publish(Arc::clone(keyspace), Arc::clone(&link), record, notify);
+        tasks.push(AbortOnDropHandle::new(tokio::spawn(task)));
+        Self {
+            link,
+            _tasks: tasks,
+        }
+    }
+
+    /// Starts the watches again, because another node knows of changes that this one has not seen.
+    pub fn refresh(&self) {
+        self.link.changed.notify_waiters();
+    }
+
+    /// Ends the node's lease.
+    pub fn leave(&self) {
+        self.link.stopping.store(true, Ordering::Release);
+        self.link.renew.notify_one();
+    }
+}
+
+impl Link {
+    fn succeed<F>(&self, notify: &F)
+    where
+        F: Fn(Notice),
+    {
+        self.failures.store(0, Ordering::Release);
+        if !self.answers.swap(true, Ordering::AcqRel) {
+            notify(Notice::Store {
+                answers: true,
+                cause: None,
+            });
+            self.changed.notify_waiters();
+        }
+    }
+
+    fn fail<F>(&self, cause: &Error, notify: &F)
+    where
+        F: Fn(Notice),
+    {
+        let failures = self.failures.fetch_add(1, Ordering::AcqRel) + 1;
+        if failures >= FAILURES && self.answers.swap(false, Ordering::AcqRel) {
+            notify(Notice::Store {
+                answers: false,
+                cause: Some(cause.clone()),
+            });
+            // Watches that still wait may have been cut without a sign.
+            self.changed.notify_waiters();
+        }
+        self.renew.notify_one();
+    }
+
+    fn answers(&self) -> bool {
+        self.answers.load(Ordering::Acquire)
+    }
+}
+
+fn pause() -> Duration {
+    rand::rng().random_range(RETRY_MIN..RETRY_MAX)
+}
+
+/// Bounds the time of a call.
+async fn bounded<T, F>(limit: Duration, call: F) -> Result<T, Error>
+where
+    F: Future<Output = Result<T, Error>>,
+{
+    timeout(limit, call)
+        .await
+        .unwrap_or_else(|_elapsed| Err(Error::Lost("no answer in time".to_owned())))
+}
+
+/// Lists a prefix and then watches it, for ever.
+async fn follow<K, F>(keyspace: Arc<K>, link: Arc<Link>, prefix: &'static str, notify: F)
+where
+    K: Keyspace,
+    F: Fn(Notice) + Send + Sync,
+{
+    loop {
+        let (items, mut after) = loop {
+            match list(&*keyspace, prefix).await {
+                Ok(listed) => break listed,
+                Err(cause) => {
+                    link.fail(&cause, &notify);
+                    settle(&link).await;
+                }
+            }
+        };
+        link.succeed(&notify);
+        notify(Notice::Listed {
+            prefix,
+            items,
+            revision: after,
+        });
+        loop {
+            let watch = bounded(WATCH + WATCH_MARGIN, keyspace.watch(prefix, after, WATCH));
+            let batch = tokio::select! {
+                batch = watch => batch,
+                () = link.changed.notified() => {
+                    settle(&link).await;
+                    continue;
+                }
+            };
+            match batch {
+                Ok(Batch { events, revision }) => {
+                    link.succeed(&notify);
+                    after = after.max(revision);
+                    let some = !events.is_empty();
+                    notify(Notice::Changed {
+                        prefix,
+                        events,
+                        revision,
+                    });
+                    if some {
+                        sleep(GATHER).await;
+                    }
+                }
+                Err(Error::Compacted) => {
+                    link.succeed(&notify);
+                    break;
+                }
+                Err(cause) => {
+                    link.fail(&cause, &notify);
+                    settle(&link).await;
+                }
+            }
+        }
+    }
+}
+
+/// Waits a little, and then until the store answers.
+async fn settle(link: &Link) {
+    sleep(pause() / 4).await;
+    loop {
+        let changed = link.changed.notified();
+        if link.answers() {
+            return;
+        }
+        changed.await;
+    }
+}
+
+async fn list<K>(keyspace: &K, prefix: &str) -> Result<(Vec<Item>, Revision), Error>
+where
+    K: Keyspace,
+{
+    let mut items: Vec<Item> = Vec::new();
+    let mut first = None;
+    loop {
+        let after = items.last().map(|item| item.key.clone());
+        let page = bounded(CALL, keyspace.list(prefix, after.as_deref())).await?;
+        // Pages are no snapshot; the watch from the first one's revision repeats what changed since.
+        let revision = *first.get_or_insert(page.revision);
+        let stuck = page.items.is_empty();
+        items.extend(page.items);
+        if !page.more || stuck {
+            return Ok((items, revision));
+        }
+    }
+}
+
+/// Publishes the node's record under a lease, and renews the lease.
+async fn publish<K, F>(keyspace: Arc<K>, link: Arc<Link>, record: (String, Vec<u8>), notify: F)
+where
+    K: Keyspace,
+    F: Fn(Notice) + Send + Sync,
+{
+    let (key, value) = record;
+    let mut lease: Option<Lease> = None;
+    loop {
+        if link.stopping.load(Ordering::Acquire) {
+            if let Some(lease) = lease.take() {
+                // The lease runs out by itself if this call fails.
+                let _ = bounded(CALL, keyspace.end(lease)).await;
+            }
+            return;
+        }
+        let result = match lease {
+            Some(held) => bounded(CALL, keyspace.renew(held)).await.map(|()| held),
+            None => claim(&*keyspace, &key, &value).await,
+        };
+        let wait = match result {
+            Ok(held) => {
+                lease = Some(held);
+                link.succeed(&notify);
+                RENEW
+            }
+            Err(Error::NoLease) => {
+                lease = None;
+                link.succeed(&notify);
+                RETRY_MIN
+            }
+            Err(cause) => {
+                link.fail(&cause, &notify);
+                pause()
+            }
+        };
+        // A failure elsewhere asks for a renewal at once, because it tells whether the store answers.
+        let urgent = async {
+            link.renew.notified().await;
+            sleep(RETRY_MIN).await;
+        };
+        let _ = timeout(wait, urgent).await;
+    }
+}
+
+async fn claim<K>(keyspace: &K, key: &str, value: &[u8]) -> Result<Lease, Error>
+where
+    K: Keyspace,
+{
+    let lease = bounded(CALL, keyspace.grant(LEASE)).await?;
+    bounded(CALL, keyspace.put(key, value, lease)).await?;
+    Ok(lease)
+}
--- /dev/null
+++ b/src/process/mirror.rs
@@ -0,0 +1,177 @@
+//! A node's copy of the items that it needs from the platform's store.
+//!
+//! The copy is fed by the store or by another node's copy, and applies each key's changes in the order
+//! of their revisions, whatever the order in which they arrive. See `docs/decisions/008-platform.md`.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::connection::keyspace::{Event, Item, Revision};
+
+/// Removed keys that are remembered, so that an older value from a peer does not revive them.
+const REMOVED_MAX: usize = 4_096;
+
+/// The items under one prefix.
+#[derive(Debug)]
+pub struct Mirror {
+    prefix: &'static str,
+    items: BTreeMap<String, Value>,
+    /// The removals, by key; oldest revisions are forgotten first.
+    removed: BTreeMap<String, Revision>,
+    /// Every change up to this revision is applied.
+    revision: Revision,
+    /// The revision of the last change that was applied.
+    latest: Revision,
+}
+
+#[derive(Debug, Clone)]
+struct Value {
+    bytes: Bytes,
+    revision: Revision,
+}
+
+/// A whole copy, as one node gives it to another.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Copy {
+    /// All items.
+    pub items: Vec<Item>,
+    /// Every change up to this revision is contained.
+    pub revision: Revision,
+}
+
+/// A change that the mirror accepted.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Change {
+    /// The key has this value now.
+    Put(String, Bytes),
+    /// The key is gone.
+    Removed(String),
+}
+
+impl Mirror {
+    /// Opens an empty mirror of the keys under `prefix`.
+    pub const fn open(prefix: &'static str) -> Self {
+        Self {
+            prefix,
+            items: BTreeMap::new(),
+            removed: BTreeMap::new(),
+            revision: Revision(0),
+            latest: Revision(0),
+        }
+    }
+
+    /// Returns the prefix of its keys.
+    pub const fn prefix(&self) -> &'static str {
+        self.prefix
+    }
+
+    /// Returns the revision of the last change that was applied.
+    pub const fn latest(&self) -> Revision {
+        self.latest
+    }
+
+    /// Returns the revision up to which every change is applied.
+    pub const fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Applies one change, unless a later one of the same key has been applied.
+    pub fn apply(&mut self, event: Event) -> Option<Change> {
+        match event {
+            Event::Put(item) => self.put(item),
+            Event::Removed { key, revision } => self.remove(key, revision),
+        }
+    }
+
+    /// Notes that every change up to `revision` has been applied.
+    pub fn advance(&mut self, revision: Revision) {
+        self.revision = self.revision.max(revision);
+    }
+
+    /// Replaces all items by a listing that was complete at `revision`.
+    ///
+    /// Items that the listing lacks are gone, unless they were written after it.
+    pub fn replace(&mut self, items: Vec<Item>, revision: Revision) -> Vec<Change> {
+        let mut changes = Vec::new();
+        let listed: std::collections::HashSet<&str> =
+            items.iter().map(|item| item.key.as_str()).collect();
+        let gone: Vec<String> = self
+            .items
+            .iter()
+            .filter(|(key, value)| value.revision <= revision && !listed.contains(key.as_str()))
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in gone {
+            changes.extend(self.remove(key, revision));
+        }
+        for item in items {
+            changes.extend(self.put(item));
+        }
+        self.advance(revision);
+        changes
+    }
+
+    /// Returns a copy of everything.
+    pub fn copy(&self) -> Copy {
+        Copy {
+            items: self
+                .items
+                .iter()
+                .map(|(key, value)| Item {
+                    key: key.clone(),
+                    value: value.bytes.clone(),
+                    revision: value.revision,
+                })
+                .collect(),
+            revision: self.revision,
+        }
+    }
+
+    fn put(&mut self, item: Item) -> Option<Change> {
+        if self
+            .removed
+            .get(&item.key)
+            .is_some_and(|removed| *removed >= item.revision)
+        {
+            return None;
+        }
+        let known = self.items.get(&item.key);
+        if known.is_some_and(|known| known.revision >= item.revision) {
+            return None;
+        }
+        self.removed.remove(&item.key);
+        self.latest = self.latest.max(item.revision);
+        let value = Value {
+            bytes: item.value.clone(),
+            revision: item.revision,
+        };
+        self.items.insert(item.key.clone(), value);
+        Some(Change::Put(item.key, item.value))
+    }
+
+    fn remove(&mut self, key: String, revision: Revision) -> Option<Change> {
+        if self
+            .items
+            .get(&key)
+            .is_some_and(|known| known.revision > revision)
+        {
+            return None;
+        }
+        let before = self.removed.insert(key.clone(), revision);
+        if before.is_some_and(|before| before > revision) {
+            self.removed.insert(key, before.unwrap_or_default());
+            return None;
+        }
+        if self.removed.len() > REMOVED_MAX {
+            let oldest = self.removed.iter().min_by_key(|(_, revision)| **revision);
+            if let Some(oldest) = oldest.map(|(key, _)| key.clone()) {
+                self.removed.remove(&oldest);
+            }
+        }
+        self.items.remove(&key)?;
+        self.latest = self.latest.max(revision);
+        Some(Change::Removed(key))
+    }
+}
--- /dev/null
+++ b/src/process/placement.rs
@@ -0,0 +1,292 @@
+//! Where a leg goes: the choice among the targets of a service by what this node has observed.
+//!
+//! It answers the load of today, in which every node may reach every target: pauses of a few hundred
+//! milliseconds, targets that turn slow, fail, refuse or fall silent, and no sign of it but the legs of
+//! this node. It uses no clock, socket or global random number generator. See
+//! `docs/decisions/008-platform.md`.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+use rand_pcg::Pcg32;
+use slotmap::SecondaryMap;
+
+use super::budget::Budget;
+use super::registry::{Effect, Effects, Registry, Target, TargetKey};
+use super::warmup::Warmup;
+use crate::time::Moment;
+use crate::version::change::Report;
+use crate::version::route::Table;
+
+/// The weight of one latency in a target's slowness.
+const SLOWNESS_WEIGHT: f64 = 0.25;
+/// The time in which an observation loses half of its weight, so that a target that was slow is tried
+/// again. Slow spells last several seconds.
+const HALF_LIFE: Duration = Duration::from_secs(3);
+/// The weight of one result in a target's error rate.
+const ERROR_WEIGHT: f64 = 0.2;
+/// What a certain error costs: about a second leg after the first one failed.
+const ERROR_COST: Duration = Duration::from_millis(200);
+/// What the way to another data centre costs beside its latency, because its bytes are paid for.
+const REMOTE_COST: Duration = Duration::from_millis(5);
+/// The first time for which a target that cannot be reached gets nothing.
+const SHUT_MIN: Duration = Duration::from_millis(250);
+/// The longest time for which a target that cannot be reached gets nothing.
+const SHUT_MAX: Duration = Duration::from_secs(1);
+/// How long a target may stay silent before one leg tries it again. Pauses end sooner than this.
+const STALL_PROBE: Duration = Duration::from_millis(700);
+/// The part of the cost that is drawn at random, so that nodes do not choose alike.
+const JITTER: f64 = 0.15;
+
+/// The targets with what this node has seen of them.
+#[derive(Debug)]
+pub struct Placement {
+    /// The targets that the store names.
+    pub registry: Registry,
+    /// The budget for extra legs.
+    pub budget: Budget,
+    /// The rates of cold targets.
+    pub warmup: Warmup,
+    data_centre: Arc<str>,
+    seen: SecondaryMap<TargetKey, Seen>,
+    nodes: usize,
+    random: Pcg32,
+}
+
+/// What a node has seen of a target.
+#[derive(Debug, Clone, Copy)]
+struct Seen {
+    /// Legs without a result.
+    open: u32,
+    /// Latencies in proportion to what their routes expect.
+    slowness: f64,
+    /// The part of legs that failed.
+    errors: f64,
+    observed: Moment,
+    /// Since when a leg has been overdue, or when it was probed last.
+    stalled: Option<Moment>,
+    shut_until: Moment,
+    /// The next time for which it is shut.
+    shut: Duration,
+}
+
+impl Seen {
+    const fn new(now: Moment) -> Self {
+        Self {
+            open: 0,
+            slowness: 1.0,
+            errors: 0.0,
+            observed: now,
+            stalled: None,
+            shut_until: Moment::ZERO,
+            shut: SHUT_MIN,
+        }
+    }
+
+    /// Lets old observations fade.
+    fn fade(&mut self, now: Moment) {
+        let kept = 0.5_f64.powf(now.since(self.observed).as_secs_f64() / HALF_LIFE.as_secs_f64());
+        self.slowness = 1.0 + (self.slowness - 1.0) * kept;
+        self.errors *= kept;
+        self.observed = now;
+    }
+}
+
+/// How willingly a target is used; better ones come first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Class {
+    /// It answers.
+    Sound,
+    /// Some leg to it is overdue.
+    Stalled,
+}
+
+/// What a leg's result says of its target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Sign {
+    /// It answered after this time, where the route expects the other.
+    Answered {
+        /// The time from sending to the answer.
+        took: Duration,
+        /// What the route expects.
+        expected: Duration,
+    },
+    /// It refused before it started.
+    Refused,
+    /// It failed, or broke off.
+    Failed,
+    /// It could not be reached.
+    Unreachable,
+    /// Another target answered at its address.
+    Misdirected,
+    /// Nobody waited for the result.
+    Dropped,
+}
+
+impl Placement {
+    /// Opens the placement of a node that knows no target.
+    pub fn open(data_centre: Arc<str>, budget: Budget, node: &str, seed: u64) -> Self {
+        Self {
+            registry: Registry::default(),
+            budget,
+            warmup: Warmup::open(node),
+            data_centre,
+            seen: SecondaryMap::new(),
+            nodes: 1,
+            random: Pcg32::new(seed, 0xa02_bdbf_7bb3_c0a7),
+        }
+    }
+
+    /// Sets which nodes share the bounds.
+    pub fn share(&mut self, nodes: &[String]) {
+        self.nodes = nodes.len().max(1);
+        self.budget.share(self.nodes);
+        self.warmup.share(nodes);
+    }
+
+    /// Takes the present report of a target.
+    pub fn put(&mut self, name: &Arc<str>, report: Report, now: Moment) -> Effects {
+        let effects = self.registry.put(name, report, now);
+        for effect in &effects {
+            match *effect {
+                Effect::Added(key) => {
+                    self.seen.insert(key, Seen::new(now));
+                }
+                Effect::Gone(key) => {
+                    self.seen.remove(key);
+                }
+                Effect::Changed(_) => {}
+            }
+        }
+        effects
+    }
+
+    /// Returns the connections that this node may hold to one target of a service.
+    pub fn connections(&self, table: &Table, service: &str) -> u32 {
+        let most = table
+            .service(service)
+            .map_or(1, |service| service.connections);
+        (most / u32::try_from(self.nodes).unwrap_or(u32::MAX)).max(1)
+    }
+
+    /// Chooses a target of a service that is not in `tried` and counts a leg to it.
+    pub fn pick(
+        &mut self,
+        table: &Table,
+        service: &str,
+        tried: &[TargetKey],
+        expected: Duration,
+        now: Moment,
+    ) -> Option<TargetKey> {
+        let connections = self.connections(table, service);
+        let rate = table.service(service).and_then(|known| known.cold_rate);
+        let mut best: Option<(Class, f64, TargetKey)> = None;
+        for (key, target) in self.registry.usable(service) {
+            if tried.contains(&key) {
+                continue;
+            }
+            let Some(seen) = self.seen.get_mut(key) else {
+                continue;
+            };
+            if seen.shut_until > now || seen.open >= connections {
+                continue;
+            }
+            // After a time out of use, one leg shows whether the target is back.
+            if seen.shut > SHUT_MIN && seen.open > 0 {
+                continue;
+            }
+            if target.cold_until > now
+                && let Some(rate) = rate
+                && !self.warmup.may_take(&target.name, rate, now)
+            {
+                continue;
+            }
+            let class = match seen.stalled {
+                Some(since) if now.since(since) < STALL_PROBE => Class::Stalled,
+                Some(_) | None => Class::Sound,
+            };
+            seen.fade(now);
+            let cost = cost(seen, target, &self.data_centre, expected)
+                * (1.0 + JITTER * self.random.random::<f64>());
+            if best.is_none_or(|(other, least, _)| (class, cost) < (other, least)) {
+                best = Some((class, cost, key));
+            }
+        }
+        let (_, _, key) = best?;
+        let target = self.registry.get(key)?;
+        if target.cold_until > now && rate.is_some() {
+            self.warmup.take(&target.name, now);
+        }
+        let seen = self.seen.get_mut(key)?;
+        seen.open += 1;
+        if seen
+            .stalled
+            .is_some_and(|since| now.since(since) >= STALL_PROBE)
+        {
+            seen.stalled = Some(now);
+        }
+        Some(key)
+    }
+
+    /// Notes that a leg has taken longer than expected, although it may still be answered.
+    pub fn overdue(&mut self, key: TargetKey, now: Moment) {
+        if let Some(seen) = self.seen.get_mut(key) {
+            seen.stalled.get_or_insert(now);
+        }
+    }
+
+    /// Takes what the result of a leg says of its target.
+    pub fn observe(&mut self, key: TargetKey, sign: Sign, now: Moment) {
+        if sign == Sign::Misdirected {
+            self.registry.misplace(key);
+        }
+        let Some(seen) = self.seen.get_mut(key) else {
+            return;
+        };
+        seen.open = seen.open.saturating_sub(1);
+        seen.fade(now);
+        match sign {
+            Sign::Answered { took, expected } => {
+                let ratio = took.as_secs_f64() / expected.as_secs_f64().max(0.001);
+                seen.slowness += (ratio.min(20.0) - seen.slowness) * SLOWNESS_WEIGHT;
+                seen.errors *= 1.0 - ERROR_WEIGHT;
+                seen.stalled = None;
+                seen.shut = SHUT_MIN;
+            }
+            Sign::Refused => {
+                seen.errors += (0.5 - seen.errors) * ERROR_WEIGHT;
+                seen.stalled = None;
+                seen.shut = SHUT_MIN;
+            }
+            Sign::Failed => seen.errors += (1.0 - seen.errors) * ERROR_WEIGHT,
+            Sign::Unreachable => {
+                seen.shut_until = now + seen.shut;
+                seen.shut = (seen.shut * 2).min(SHUT_MAX);
+            }
+            Sign::Misdirected | Sign::Dropped => {}
+        }
+    }
+
+    /// Returns when the first target of a service that is out of use may be tried again.
+    pub fn reopens(&self, service: &str, now: Moment) -> Option<Moment> {
+        self.registry
+            .usable(service)
+            .filter_map(|(key, _)| self.seen.get(key))
+            .map(|seen| seen.shut_until.max(now))
+            .min()
+    }
+}
+
+/// Estimates the time until a target answers, plus what the way costs.
+fn cost(seen: &Seen, target: &Target, home: &str, expected: Duration) -> f64 {
+    let queue = f64::from(seen.open) / f64::from(target.report.slots.max(1));
+    let time = expected.as_secs_f64() * seen.slowness * (1.0 + queue);
+    let errors = ERROR_COST.as_secs_f64() * seen.errors;
+    let way = if *target.report.data_centre == *home {
+        0.0
+    } else {
+        REMOTE_COST.as_secs_f64()
+    };
+    time + errors + way
+}
--- /dev/null
+++ b/src/process/registry.rs
@@ -0,0 +1,215 @@
+//! The targets that a node knows, by service.
+//!
+//! Entries come from the store. While the store is away, entries lapse although their targets live, so
+//! a removal during an outage or shortly after it takes effect only if the target does not come back.
+//! See `docs/decisions/008-platform.md`.
+
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use slotmap::{SlotMap, new_key_type};
+use smallvec::SmallVec;
+
+use crate::time::Moment;
+use crate::version::change::{Report, State};
+
+new_key_type! {
+    /// Identifies one start of a target.
+    pub struct TargetKey;
+}
+
+/// How long after an outage of the store a lapsed entry may still come back. Targets register again
+/// about two seconds after the store's return (PROTOCOL, "Service discovery").
+pub const RETURN: Duration = Duration::from_millis(2_200);
+
+/// One start of a target.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Target {
+    /// The name that the target has in the store and towards callers.
+    pub name: Arc<str>,
+    /// What it reported last.
+    pub report: Report,
+    /// Until when it counts as cold.
+    pub cold_until: Moment,
+    /// Since when its entry has been missing because of an outage.
+    missing: Option<Moment>,
+    /// Whether another target answered at its address.
+    misplaced: bool,
+}
+
+/// The targets that a node knows.
+#[derive(Debug, Default)]
+pub struct Registry {
+    targets: SlotMap<TargetKey, Target>,
+    names: HashMap<Arc<str>, TargetKey>,
+    services: HashMap<Arc<str>, SmallVec<[TargetKey; 4]>>,
+    evacuated: BTreeSet<Arc<str>>,
+    outage: Outage,
+}
+
+/// Whether entries in the store say what is true.
+#[derive(Debug, Clone, Copy, Default)]
+enum Outage {
+    #[default]
+    None,
+    /// The store does not answer.
+    Lasting,
+    /// The store has been back since this moment.
+    Over(Moment),
+}
+
+/// What a change did to the targets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Effect {
+    /// A start of a target is new.
+    Added(TargetKey),
+    /// A known target changed.
+    Changed(TargetKey),
+    /// This start of a target is over, or gets no more requests.
+    Gone(TargetKey),
+}
+
+/// The effects of one change, in order.
+pub type Effects = SmallVec<[Effect; 2]>;
+
+impl Registry {
+    /// Takes the present report of a target.
+    pub fn put(&mut self, name: &Arc<str>, report: Report, now: Moment) -> Effects {
+        let mut effects = Effects::new();
+        if let Some(&key) = self.names.get(name) {
+            let known = &mut self.targets[key];
+            let same = known.report.born == report.born
+                && known.report.address == report.address
+                && known.report.service == report.service;
+            if same {
+                known.cold_until = now + report.cold;
+                known.report = report;
+                known.missing = None;
+                effects.push(Effect::Changed(key));
+                return effects;
+            }
+            effects.extend(self.drop_key(key));
+        }
+        let target = Target {
+            name: Arc::clone(name),
+            cold_until: now + report.cold,
+            missing: None,
+            misplaced: false,
+            report,
+        };
+        let service = Arc::clone(&target.report.service);
+        let key = self.targets.insert(target);
+        self.names.insert(Arc::clone(name), key);
+        self.services.entry(service).or_default().push(key);
+        effects.push(Effect::Added(key));
+        effects
+    }
+
+    /// Takes the removal of a target's entry.
+    pub fn remove(&mut self, name: &str, now: Moment) -> Option<Effect> {
+        let key = *self.names.get(name)?;
+        if self.may_return(now) {
+            self.targets[key].missing.get_or_insert(now);
+            return Some(Effect::Changed(key));
+        }
+        self.drop_key(key)
+    }
+
+    /// Takes an entry that names no usable target.
+    pub fn invalidate(&mut self, name: &str) -> Option<Effect> {
+        let key = *self.names.get(name)?;
+        self.drop_key(key)
+    }
+
+    /// Notes that another target answered at the address of this one.
+    pub fn misplace(&mut self, key: TargetKey) -> Option<Effect> {
+        let target = self.targets.get_mut(key)?;
+        target.misplaced = true;
+        Some(Effect::Changed(key))
+    }
+
+    /// Takes the time that a target says it stays cold.
+    pub fn cool(&mut self, key: TargetKey, cold: Duration, now: Moment) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.cold_until = now + cold;
+        }
+    }
+
+    /// Starts or ends the evacuation of a data centre.
+    pub fn evacuate(&mut self, data_centre: &Arc<str>, evacuated: bool) {
+        if evacuated {
+            self.evacuated.insert(Arc::clone(data_centre));
+        } else {
+            self.evacuated.remove(data_centre);
+        }
+    }
+
+    /// Notes whether the store answers.
+    pub fn set_store(&mut self, answers: bool, now: Moment) {
+        self.outage = match (self.outage, answers) {
+            (_, false) => Outage::Lasting,
+            (Outage::Lasting, true) => Outage::Over(now),
+            (outage, true) => outage,
+        };
+    }
+
+    /// Drops the targets that did not come back after an outage.
+    pub fn expire(&mut self, now: Moment) -> Vec<Effect> {
+        if self.may_return(now) {
+            return Vec::new();
+        }
+        let gone: Vec<TargetKey> = self
+            .targets
+            .iter()
+            .filter(|(_, target)| target.missing.is_some())
+            .map(|(key, _)| key)
+            .collect();
+        gone.into_iter()
+            .filter_map(|key| self.drop_key(key))
+            .collect()
+    }
+
+    /// Returns a target that is still known.
+    pub fn get(&self, key: TargetKey) -> Option<&Target> {
+        self.targets.get(key)
+    }
+
+    /// Returns all targets.
+    pub fn targets(&self) -> impl Iterator<Item = (TargetKey, &Target)> {
+        self.targets.iter()
+    }
+
+    /// Returns the targets of a service that take new work.
+    pub fn usable(&self, service: &str) -> impl Iterator<Item = (TargetKey, &Target)> {
+        let keys = self.services.get(service).into_iter().flatten();
+        keys.map(|&key| (key, &self.targets[key]))
+            .filter(|(_, target)| self.takes_work(target))
+    }
+
+    fn takes_work(&self, target: &Target) -> bool {
+        target.report.state == State::Ready
+            && !target.misplaced
+            && !self.evacuated.contains(&target.report.data_centre)
+    }
+
+    fn may_return(&self, now: Moment) -> bool {
+        match self.outage {
+            Outage::None => false,
+            Outage::Lasting => true,
+            Outage::Over(since) => now.since(since) < RETURN,
+        }
+    }
+
+    fn drop_key(&mut self, key: TargetKey) -> Option<Effect> {
+        let target = self.targets.remove(key)?;
+        self.names.remove(&target.name);
+        if let Some(keys) = self.services.get_mut(&target.report.service) {
+            keys.retain(|known| *known != key);
+            if keys.is_empty() {
+                self.services.remove(&target.report.service);
+            }
+        }
+        Some(Effect::Gone(key))
+    }
+}
--- /dev/null
+++ b/src/process/roster.rs
@@ -0,0 +1,165 @@
+//! The nodes that a node knows, and the address lists that it gives to callers.
+//!
+//! The store says which nodes there are; only what a node hears from another one says that it lives.
+//! A record without a lease proves nothing, because the store may revoke leases of living nodes, and a
+//! record with one proves little, because it outlives its node. See `docs/decisions/008-platform.md`.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::seq::SliceRandom;
+use serde::{Deserialize, Serialize};
+
+use crate::connection::keyspace::Revision;
+use crate::time::Moment;
+use crate::version::change::Node;
+
+/// The period of pulses between nodes.
+pub const PULSE: Duration = Duration::from_millis(300);
+/// A node that was not heard for this time leaves the address lists; three pulses in a row are lost
+/// rarely.
+pub const SILENCE: Duration = Duration::from_secs(1);
+/// How long a node that is neither listed nor heard is remembered and sent pulses.
+pub const FORGET: Duration = Duration::from_secs(15);
+/// The longest address list that callers use.
+pub const ADDRESSES_MAX: usize = 64;
+/// Nodes in a list at least, if so many serve: a caller whose node fails needs another one.
+pub const ADDRESSES_MIN: usize = 2;
+
+/// What a node says of itself to the others.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pulse {
+    /// Where it can be reached.
+    pub node: Node,
+    /// Whether it takes callers.
+    pub ready: bool,
+    /// Whether the store has confirmed its state lately.
+    pub fresh: bool,
+    /// The revision up to which its mirror is complete.
+    pub revision: Revision,
+}
+
+/// What is known of another node.
+#[derive(Debug, Clone)]
+struct Known {
+    node: Node,
+    listed: bool,
+    ready: bool,
+    heard: Option<Moment>,
+    /// The last sign of any kind.
+    seen: Moment,
+}
+
+/// All other nodes, by name.
+#[derive(Debug, Default)]
+pub struct Roster {
+    nodes: BTreeMap<String, Known>,
+}
+
+impl Roster {
+    /// Takes the record of a node.
+    pub fn list(&mut self, node: Node, now: Moment) {
+        if let Some(known) = self.nodes.get_mut(&node.name) {
+            known.listed = true;
+            known.seen = now;
+            // Pulses tell sooner than records which run of a node is the present one.
+            if known.heard.is_none() {
+                known.node = node;
+            }
+            return;
+        }
+        let known = Known {
+            listed: true,
+            ready: false,
+            heard: None,
+            seen: now,
+            node,
+        };
+        self.nodes.insert(known.node.name.clone(), known);
+    }
+
+    /// Takes the end of a node's record.
+    pub fn unlist(&mut self, name: &str, now: Moment) {
+        if let Some(known) = self.nodes.get_mut(name) {
+            known.listed = false;
+            known.seen = now;
+        }
+    }
+
+    /// Takes a pulse.
+    pub fn hear(&mut self, pulse: Pulse, now: Moment) {
+        let listed = self
+            .nodes
+            .get(&pulse.node.name)
+            .is_some_and(|known| known.listed);
+        let known = Known {
+            listed,
+            ready: pulse.ready,
+            heard: Some(now),
+            seen: now,
+            node: pulse.node,
+        };
+        self.nodes.insert(known.node.name.clone(), known);
+    }
+
+    /// Forgets nodes that gave no sign for long.
+    pub fn expire(&mut self, now: Moment) {
+        self.nodes
+            .retain(|_, known| known.listed || now.since(known.seen) < FORGET);
+    }
+
+    /// Returns the nodes that share the bounds, without this one.
+    pub fn names(&self) -> impl Iterator<Item = &str> {
+        self.nodes.keys().map(String::as_str)
+    }
+
+    /// Returns where pulses go.
+    pub fn pulses(&self) -> impl Iterator<Item = SocketAddr> {
+        self.nodes.values().map(|known| known.node.pulse)
+    }
+
+    /// Returns the nodes that were heard lately.
+    pub fn alive(&self, now: Moment) -> impl Iterator<Item = &Node> {
+        self.nodes
+            .values()
+            .filter(move |known| is_alive(known, now))
+            .map(|known| &known.node)
+    }
+
+    /// Returns the addresses for a caller in a data centre; `own` is this node, if it takes callers.
+    ///
+    /// Nodes of the caller's data centre are nearest. The list is filled up with others if it would be
+    /// too short to survive the loss of a node.
+    pub fn addresses<R>(
+        &self,
+        data_centre: &str,
+        own: Option<&Node>,
+        random: &mut R,
+        now: Moment,
+    ) -> Vec<SocketAddr>
+    where
+        R: Rng,
+    {
+        let others = self
+            .nodes
+            .values()
+            .filter(|known| known.ready && is_alive(known, now))
+            .map(|known| &known.node);
+        let mut nodes: Vec<&Node> = others.chain(own).collect();
+        nodes.shuffle(random);
+        // The sort is stable and keeps the random order among equals.
+        nodes.sort_by_key(|node| node.data_centre != data_centre);
+        let near = nodes
+            .iter()
+            .filter(|node| node.data_centre == data_centre)
+            .count();
+        nodes.truncate(near.clamp(ADDRESSES_MIN, ADDRESSES_MAX));
+        nodes.iter().map(|node| node.caller).collect()
+    }
+}
+
+fn is_alive(known: &Known, now: Moment) -> bool {
+    known.heard.is_some_and(|heard| now.since(heard) < SILENCE)
+}
--- /dev/null
+++ b/src/request/fanout.rs
@@ -0,0 +1,554 @@
+//! Runs one request over the services of its route: one leg for each, hedges, retries, and the end.
+//!
+//! A request for a single target is a fan-out to one service. The decisions use no clock and no socket;
+//! `docs/decisions/008-platform.md` gives the reasons.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
+use super::record;
+use super::reply::{Answer, Cause, Outcome, Reason, Verdict};
+use crate::process::placement::{Placement, Sign};
+use crate::process::registry::TargetKey;
+use crate::time::Moment;
+use crate::version::route::{Destination, Kind, Route, Table};
+
+/// How long before the latency objective an incomplete answer leaves, so that it arrives in time.
+pub const REPLY_MARGIN: Duration = Duration::from_millis(20);
+/// Legs of one shard at most, counting those that were refused.
+pub const LEGS_MAX: usize = 6;
+/// The first pause before a refused leg is sent to a target that has refused it already.
+const PAUSE_MIN: Duration = Duration::from_millis(10);
+/// When a hedge for which there was no budget or no target is tried again.
+const HEDGE_AGAIN: Duration = Duration::from_millis(40);
+/// The shortest time after which a caller should come back to a service that has no usable target.
+const RETRY_AFTER_MIN: Duration = Duration::from_millis(250);
+/// When a caller should come back to targets that are full.
+const RETRY_AFTER_SHED: Duration = Duration::from_millis(100);
+
+/// What a request needs to run.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// The version that was in force when the request arrived.
+    pub table: Arc<Table>,
+    /// The route.
+    pub route: Arc<Route>,
+    /// The services that are asked.
+    pub services: Vec<Arc<str>>,
+    /// When the request arrived.
+    pub arrived: Moment,
+    /// When the final answer is due.
+    pub deadline: Moment,
+    /// How long a leg usually takes.
+    pub expected: Duration,
+    /// After which time a leg is hedged.
+    pub hedge: Duration,
+}
+
+/// What happens to a request.
+#[derive(Debug, Clone)]
+pub enum Event {
+    /// The request begins.
+    Start,
+    /// A leg ended.
+    Result {
+        /// The number of the leg.
+        leg: usize,
+        /// How it ended.
+        outcome: Outcome,
+    },
+    /// The moment that [`Fanout::wake`] named has come.
+    Tick,
+}
+
+/// What the process must do for a request.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    /// Send a leg.
+    Send {
+        /// The number of the leg.
+        leg: usize,
+        /// The target.
+        target: TargetKey,
+    },
+    /// Reply to the caller; nothing follows.
+    Finish(Verdict),
+}
+
+/// Extra legs by cause.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Extra {
+    /// Legs sent because another one was slow.
+    pub hedges: u32,
+    /// Legs sent because another one was refused or lost.
+    pub retries: u32,
+}
+
+#[derive(Debug)]
+enum Progress {
+    Pending,
+    Answered(Answer),
+    Failed(Failure),
+}
+
+/// Why a shard has no answer.
+#[derive(Debug, Clone)]
+enum Failure {
+    /// The target's own answer says so.
+    Answer(Answer),
+    /// There is none.
+    Reason(Reason),
+}
+
+#[derive(Debug)]
+struct Shard {
+    service: Arc<str>,
+    progress: Progress,
+    /// Targets that are not asked again for now.
+    tried: SmallVec<[TargetKey; 4]>,
+    /// Legs without a result.
+    open: usize,
+    legs: usize,
+    /// Targets that may have run the request.
+    ran: SmallVec<[TargetKey; 2]>,
+    /// Whether some leg may have reached a target, so that the next one is extra.
+    arrived: bool,
+    /// When a slow leg is hedged.
+    hedge_at: Moment,
+    /// When a refused leg is sent again.
+    retry_at: Moment,
+}
+
+#[derive(Debug)]
+struct Leg {
+    shard: usize,
+    target: TargetKey,
+    open: bool,
+}
+
+/// One running request.
+#[derive(Debug)]
+pub struct Fanout {
+    plan: Plan,
+    shards: Vec<Shard>,
+    legs: Vec<Leg>,
+    pending: usize,
+    answered: usize,
+    needed: usize,
+    limit: Option<usize>,
+    extra: Extra,
+    finished: bool,
+}
+
+impl Fanout {
+    /// Opens a request; nothing is sent before [`Event::Start`].
+    pub fn open(plan: Plan) -> Self {
+        let shards: Vec<Shard> = plan
+            .services
+            .iter()
+            .map(|service| Shard {
+                service: Arc::clone(service),
+                progress: Progress::Pending,
+                tried: SmallVec::new(),
+                open: 0,
+                legs: 0,
+                ran: SmallVec::new(),
+                arrived: false,
+                hedge_at: Moment::NEVER,
+                retry_at: Moment::NEVER,
+            })
+            .collect();
+        let (needed, limit) = match &plan.route.destination {
+            Destination::One(_) => (1, None),
+            Destination::All(gather) => (gather.needed(), Some(gather.limit)),
+        };
+        Self {
+            pending: shards.len(),
+            shards,
+            legs: Vec::new(),
+            answered: 0,
+            needed,
+            limit,
+            extra: Extra::default(),
+            finished: false,
+            plan,
+        }
+    }
+
+    /// Returns the service of a leg.
+    pub fn service(&self, leg: usize) -> &Arc<str> {
+        &self.shards[self.legs[leg].shard].service
+    }
+
+    /// Returns the extra legs.
+    pub const fn extra(&self) -> Extra {
+        self.extra
+    }
+
+    /// Returns the shards that answered and all shards.
+    pub const fn coverage(&self) -> (usize, usize) {
+        (self.answered, self.shards.len())
+    }
+
+    /// Returns the number of legs sent.
+    pub const fn legs(&self) -> usize {
+        self.legs.len()
+    }
+
+    /// Returns the services without an answer.
+    pub fn missing(&self) -> impl Iterator<Item = &str> {
+        let open = self
+            .shards
+            .iter()
+            .filter(|shard| !matches!(shard.progress, Progress::Answered(_)));
+        open.map(|shard| &*shard.service)
+    }
+
+    /// Returns when the request needs a [`Event::Tick`].
+    pub fn wake(&self) -> Moment {
+        let shards = self
+            .shards
+            .iter()
+            .filter(|shard| matches!(shard.progress, Progress::Pending))
+            .map(|shard| shard.hedge_at.min(shard.retry_at))
+            .min();
+        shards
+            .unwrap_or(Moment::NEVER)
+            .min(self.plan.deadline)
+            .min(self.cut())
+    }
+
+    /// Handles one event; after [`Action::Finish`] every event is ignored.
+    pub fn step(&mut self, event: Event, now: Moment, placement: &mut Placement) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if self.finished {
+            return actions;
+        }
+        match event {
+            Event::Start => {
+                actions.reserve(self.shards.len());
+                for at in 0..self.shards.len() {
+                    placement.budget.earn(&self.shards[at].service);
+                    self.send(at, now, placement, &mut actions);
+                }
+            }
+            Event::Result { leg, outcome } => {
+                self.result(leg, outcome, now, placement, &mut actions);
+            }
+            Event::Tick => {
+                for at in 0..self.shards.len() {
+                    self.tick(at, now, placement, &mut actions);
+                }
+            }
+        }
+        if let Some(verdict) = self.verdict(now, placement) {
+            self.finished = true;
+            actions.push(Action::Finish(verdict));
+        }
+        actions
+    }
+
+    /// Sends the first leg of a shard, or one after a refusal.
+    fn send(
+        &mut self,
+        at: usize,
+        now: Moment,
+        placement: &mut Placement,
+        actions: &mut Vec<Action>,
+    ) {
+        let shard = &mut self.shards[at];
+        shard.retry_at = Moment::NEVER;
+        if shard.legs >= LEGS_MAX {
+            self.fail(at, Reason::Shed);
+            return;
+        }
+        let service = Arc::clone(&shard.service);
+        let extra = shard.arrived;
+        if extra && !placement.budget.take(&service) {
+            self.fail(at, Reason::NoBudget);
+            return;
+        }
+        let (table, expected) = (&self.plan.table, self.plan.expected);
+        let target = placement.pick(table, &service, &shard.tried, expected, now);
+        if let Some(target) = target {
+            self.dispatch(at, target, now, actions);
+            if extra {
+                self.extra.retries += 1;
+            }
+            return;
+        }
+        if extra {
+            placement.budget.refund(&service);
+        }
+        match placement.reopens(&service, now) {
+            // All targets are busy or have refused; they may have room a little later.
+            Some(moment) if moment <= now => {
+                let shard = &mut self.shards[at];
+                shard.tried.clear();
+                shard.legs += 1;
+                let rounds = u32::try_from(shard.legs).unwrap_or(u32::MAX).min(6);
+                shard.retry_at = now + PAUSE_MIN * (1 << rounds) / 2;
+            }
+            _ => self.fail(at, Reason::NoTarget),
+        }
+    }
+
+    fn dispatch(&mut self, at: usize, target: TargetKey, now: Moment, actions: &mut Vec<Action>) {
+        let shard = &mut self.shards[at];
+        shard.tried.push(target);
+        shard.open += 1;
+        shard.legs += 1;
+        shard.hedge_at = match self.plan.route.kind {
+            Kind::Idempotent => now + self.plan.hedge,
+            Kind::Once => Moment::NEVER,
+        };
+        let leg = self.legs.len();
+        self.legs.push(Leg {
+            shard: at,
+            target,
+            open: true,
+        });
+        actions.push(Action::Send { leg, target });
+    }
+
+    fn result(
+        &mut self,
+        number: usize,
+        outcome: Outcome,
+        now: Moment,
+        placement: &mut Placement,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(leg) = self.legs.get_mut(number).filter(|leg| leg.open) else {
+            return;
+        };
+        leg.open = false;
+        let (at, target) = (leg.shard, leg.target);
+        let shard = &mut self.shards[at];
+        shard.open -= 1;
+        if !matches!(shard.progress, Progress::Pending) {
+            return;
+        }
+        match outcome {
+            Outcome::Done(answer) => {
+                shard.progress = Progress::Answered(answer);
+                self.pending -= 1;
+                self.answered += 1;
+            }
+            Outcome::Failed(answer) => {
+                shard.arrived = true;
+                shard.ran.push(target);
+                if !self.again(at, now, placement, actions) {
+                    self.end(at, Failure::Answer(answer));
+                }
+            }
+            Outcome::Lost(_) => {
+                shard.arrived = true;
+                shard.ran.push(target);
+                if !self.again(at, now, placement, actions) {
+                    self.fail(at, Reason::LostAnswer);
+                }
+            }
+            Outcome::NotRun(cause) => {
+                shard.arrived |= matches!(cause, Cause::Shed | Cause::Misdirected);
+                if shard.open == 0 {
+                    self.send(at, now, placement, actions);
+                }
+            }
+        }
+    }
+
+    /// Tries a shard again after a target may have run it; tells whether an answer may still come.
+    fn again(
+        &mut self,
+        at: usize,
+        now: Moment,
+        placement: &mut Placement,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        if self.plan.route.kind == Kind::Once {
+            return false;
+        }
+        if self.shards[at].open > 0 {
+            return true;
+        }
+        if self.shards[at].ran.len() >= self.plan.route.attempts as usize {
+            return false;
+        }
+        let before = self.legs.len();
+        self.send(at, now, placement, actions);
+        self.legs.len() > before || self.shards[at].retry_at < Moment::NEVER
+    }
+
+    /// Sends what is due for a shard: a refused leg again, or a hedge for a slow one.
+    fn tick(
+        &mut self,
+        at: usize,
+        now: Moment,
+        placement: &mut Placement,
+        actions: &mut Vec<Action>,
+    ) {
+        let shard = &self.shards[at];
+        if !matches!(shard.progress, Progress::Pending) {
+            return;
+        }
+        if shard.retry_at <= now {
+            self.send(at, now, placement, actions);
+        } else if shard.hedge_at <= now && shard.open > 0 {
+            self.hedge(at, now, placement, actions);
+        }
+    }
+
+    fn hedge(
+        &mut self,
+        at: usize,
+        now: Moment,
+        placement: &mut Placement,
+        actions: &mut Vec<Action>,
+    ) {
+        for leg in self.legs.iter().filter(|leg| leg.shard == at && leg.open) {
+            placement.overdue(leg.target, now);
+        }
+        let attempts = self.plan.route.attempts as usize;
+        let shard = &mut self.shards[at];
+        shard.hedge_at = now + HEDGE_AGAIN;
+        if shard.open + shard.ran.len() >= attempts || shard.legs >= LEGS_MAX {
+            shard.hedge_at = Moment::NEVER;
+            return;
+        }
+        let service = Arc::clone(&shard.service);
+        if !placement.budget.take(&service) {
+            return;
+        }
+        let (table, expected) = (&self.plan.table, self.plan.expected);
+        let target = placement.pick(table, &service, &shard.tried, expected, now);
+        if let Some(target) = target {
+            self.extra.hedges += 1;
+            self.shards[at].arrived = true;
+            self.dispatch(at, target, now, actions);
+        } else {
+            placement.budget.refund(&service);
+        }
+    }
+
+    fn fail(&mut self, at: usize, reason: Reason) {
+        if self.shards[at].open == 0 {
+            self.end(at, Failure::Reason(reason));
+        }
+    }
+
+    fn end(&mut self, at: usize, failure: Failure) {
+        let shard = &mut self.shards[at];
+        if matches!(shard.progress, Progress::Pending) {
+            shard.progress = Progress::Failed(failure);
+            self.pending -= 1;
+        }
+    }
+
+    /// Returns when an incomplete answer is better than a complete one that comes later.
+    ///
+    /// Before the latency objective it is worth waiting for every shard. After it, the caller is late
+    /// anyway, and gets a full answer if one comes in as much time again.
+    fn cut(&self) -> Moment {
+        if self.limit.is_none() || self.answered < self.needed {
+            return Moment::NEVER;
+        }
+        self.plan.arrived + self.plan.route.objective.saturating_sub(REPLY_MARGIN)
+    }
+
+    fn verdict(&mut self, now: Moment, placement: &Placement) -> Option<Verdict> {
+        let over = now >= self.plan.deadline;
+        if self.limit.is_none() {
+            return self.single(over, now, placement);
+        }
+        if self.answered >= self.needed && (self.pending == 0 || over || now >= self.cut()) {
+            return Some(self.merged());
+        }
+        if self.answered + self.pending < self.needed {
+            return Some(self.unserved(Reason::LowCoverage, now, placement));
+        }
+        over.then_some(Verdict::Expired)
+    }
+
+    fn single(&mut self, over: bool, now: Moment, placement: &Placement) -> Option<Verdict> {
+        match &self.shards.first()?.progress {
+            Progress::Answered(answer) | Progress::Failed(Failure::Answer(answer)) => {
+                Some(Verdict::Single(answer.clone()))
+            }
+            Progress::Failed(Failure::Reason(reason)) => {
+                Some(self.unserved(*reason, now, placement))
+            }
+            Progress::Pending => over.then(|| {
+                if self.may_have_run() {
+                    Verdict::Expired
+                } else {
+                    self.unserved(Reason::Shed, now, placement)
+                }
+            }),
+        }
+    }
+
+    fn merged(&self) -> Verdict {
+        let answers = || {
+            self.shards
+                .iter()
+                .filter_map(|shard| match &shard.progress {
+                    Progress::Answered(answer) => Some(answer),
+                    Progress::Pending | Progress::Failed(_) => None,
+                })
+        };
+        let limit = self.limit.unwrap_or_default();
+        Verdict::Merged {
+            seals: answers().filter_map(|answer| answer.seal.clone()).collect(),
+            missing: self.shards.len() - self.answered,
+            records: record::merge(answers().map(|answer| &*answer.body), limit),
+        }
+    }
+
+    /// Says truthfully that the request has no answer.
+    fn unserved(&self, reason: Reason, now: Moment, placement: &Placement) -> Verdict {
+        if self.may_have_run() {
+            return Verdict::Unknown(reason);
+        }
+        let reopens = self
+            .shards
+            .iter()
+            .filter(|shard| matches!(shard.progress, Progress::Failed(_)))
+            .filter_map(|shard| placement.reopens(&shard.service, now))
+            .max();
+        let retry_after = match (reason, reopens) {
+            (Reason::Shed | Reason::NoBudget, _) => RETRY_AFTER_SHED,
+            (_, Some(moment)) => now.until(moment).max(RETRY_AFTER_SHED),
+            (_, None) => RETRY_AFTER_MIN,
+        };
+        Verdict::Refused {
+            reason,
+            retry_after,
+        }
+    }
+
+    /// Tells whether some target may have run the request, or may still run it.
+    fn may_have_run(&self) -> bool {
+        self.shards.iter().any(|shard| {
+            shard.open > 0
+                || !shard.ran.is_empty()
+                || matches!(shard.progress, Progress::Answered(_))
+        })
+    }
+}
+
+impl From<&Outcome> for Option<Sign> {
+    /// Returns what an outcome says of its target, apart from answers, whose latency matters too.
+    fn from(outcome: &Outcome) -> Self {
+        match outcome {
+            Outcome::Done(_) => None,
+            Outcome::Failed(_) | Outcome::Lost(_) => Some(Sign::Failed),
+            Outcome::NotRun(Cause::Misdirected) => Some(Sign::Misdirected),
+            Outcome::NotRun(Cause::Unreachable) => Some(Sign::Unreachable),
+            Outcome::NotRun(Cause::Gone) => Some(Sign::Dropped),
+            Outcome::NotRun(_) => Some(Sign::Refused),
+        }
+    }
+}
--- a/src/request/hedge.rs
+++ b/src/request/hedge.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::latency::Latency;
 use super::silence::Silence;
 use crate::time::Moment;
 use crate::wire::Load;
@@ -74,7 +75,10 @@
 
     /// Returns the 95th percentile of the recent latencies of `service`, within the floor and ceiling.
     pub fn expected(&self, service: &str) -> Duration {
-        let known = self.services.get(service).and_then(|it| it.latency.high());
+        let known = self
+            .services
+            .get(service)
+            .and_then(|it| it.latency.percentile());
         known
             .unwrap_or(DELAY_CEILING)
             .clamp(DELAY_FLOOR, DELAY_CEILING)
@@ -189,80 +193,3 @@
         true
     }
 }
-
-/// Recent latencies in buckets of an eighth of a power of two, with older ones losing weight.
-///
-/// `hdrhistogram` has no decay, and it computes a percentile over all of its buckets at each call.
-#[derive(Debug)]
-struct Latency {
-    counts: [u16; Self::BUCKETS],
-    total: u16,
-    /// The cached 95th percentile in microseconds.
-    high: u64,
-}
-
-impl Default for Latency {
-    fn default() -> Self {
-        Self {
-            counts: [0; Self::BUCKETS],
-            total: 0,
-            high: 0,
-        }
-    }
-}
-
-impl Latency {
-    /// Buckets up to 2^26 microseconds, about 67 s, which exceeds the longest deadline.
-    const BUCKETS: usize = 24 * 8;
-    /// Weight at which all counts are halved; the estimate follows about this many latencies.
-    const WINDOW: u16 = 1_024;
-    /// Latencies before the estimate is used.
-    const FEW: u16 = 20;
-    /// Latencies between two computations of the percentile.
-    const STRIDE: u16 = 16;
-
-    fn record(&mut self, latency: Duration) {
-        let bucket = Self::bucket(u64::try_from(latency.as_micros()).unwrap_or(u64::MAX));
-        self.counts[bucket] += 1;
-        self.total += 1;
-        if self.total >= Self::WINDOW {
-            self.total = 0;
-            for count in &mut self.counts {
-                *count /= 2;
-                self.total += *count;
-            }
-        }
-        if self.total.is_multiple_of(Self::STRIDE) || self.total == Self::FEW {
-            self.high = self.percentile_95();
-        }
-    }
-
-    fn high(&self) -> Option<Duration> {
-        (self.high > 0 && self.total >= Self::FEW).then(|| Duration::from_micros(self.high))
-    }
-
-    fn percentile_95(&self) -> u64 {
-        let above = self.total / 20;
-        let mut seen = 0;
-        for (bucket, &count) in self.counts.iter().enumerate().rev() {
-            seen += count;
-            if seen > above {
-                return Self::upper(bucket);
-            }
-        }
-        0
-    }
-
-    /// Returns the bucket of a latency: three bits after the leading one select within a power of two.
-    fn bucket(micros: u64) -> usize {
-        let micros = micros.max(8);
-        let power = micros.ilog2();
-        let part = (micros >> (power - 3)) & 7;
-        (((power - 3) * 8) as usize + part as usize).min(Self::BUCKETS - 1)
-    }
-
-    /// Returns the upper end of a bucket in microseconds.
-    const fn upper(bucket: usize) -> u64 {
-        (bucket as u64 % 8 + 9) << (bucket / 8)
-    }
-}
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -6,10 +6,14 @@
 pub mod answer;
 pub mod ask;
 pub mod choice;
+pub mod fanout;
 pub mod hedge;
 pub mod id;
+pub mod latency;
 pub mod merge;
 pub mod once;
+pub mod record;
+pub mod reply;
 pub mod scatter;
 pub mod silence;
 pub mod snapshot;
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -1,6 +1,7 @@
 //! What lives as long as one version of the settings or of an index.
 
 pub mod acceptance;
+pub mod change;
 pub mod directory;
 mod draft;
 pub mod edit;
@@ -11,6 +12,7 @@
 pub mod policy;
 mod reader;
 pub mod replica;
+pub mod route;
 pub mod tree;
 
 pub use tree::Tree;
