--- a/src/connection/outbound.rs
+++ b/src/connection/outbound.rs
@@ -69,6 +69,9 @@
     pub name: Arc<str>,
     /// Where it listens.
     pub address: SocketAddr,
+    /// Whether the leg gets a connection of its own. A kept one may have ended without a sign, or may
+    /// bring a late answer, and a request that cannot be repeated would then be lost.
+    pub alone: bool,
 }
 
 /// What an answer means.
@@ -147,7 +150,11 @@
         P: Protocol,
     {
         loop {
-            let kept = self.take(peer.key);
+            let kept = if peer.alone {
+                None
+            } else {
+                self.take(peer.key)
+            };
             let fresh = kept.is_none();
             let mut wire = match kept {
                 Some(wire) => wire,
@@ -163,7 +170,7 @@
             match wire.exchange(request).await {
                 Ok((head, body)) => {
                     let answer = protocol.read(call, &head, body);
-                    if !matches!(answer.outcome, Outcome::Lost(_)) {
+                    if !peer.alone && !matches!(answer.outcome, Outcome::Lost(_)) {
                         self.put(peer.key, wire, &answer);
                     }
                     return answer;
--- a/src/process/entry/serve.rs
+++ b/src/process/entry/serve.rs
@@ -16,7 +16,7 @@
 use crate::request::fanout::{Action, Event, Fanout, Plan};
 use crate::request::reply::{Cause, Invalid, Outcome, Reason, Verdict};
 use crate::time::Moment;
-use crate::version::route::{Destination, Route};
+use crate::version::route::{Destination, Kind, Route};
 
 /// How long the losers of hedges may finish after their request has been answered.
 const LINGER: Duration = Duration::from_millis(400);
@@ -99,7 +99,7 @@
 {
     let call = Arc::new(call);
     let (deadline, expected) = (plan.deadline, plan.expected);
-    let route = Arc::clone(&plan.route.name);
+    let route = Arc::clone(&plan.route);
     let mut fanout = Fanout::open(plan);
     let mut legs = FuturesUnordered::new();
     let mut event = Event::Start;
@@ -153,7 +153,7 @@
     target: TargetKey,
     expected: Duration,
     deadline: Moment,
-    route: Arc<str>,
+    route: Arc<Route>,
 }
 
 impl<P> Leg<P>
@@ -174,6 +174,7 @@
                 key: self.target,
                 name: Arc::clone(&target.name),
                 address: target.report.address,
+                alone: self.route.kind == Kind::Once,
             })
         };
         let Some(peer) = peer else {
@@ -193,7 +194,7 @@
             shared.placement().registry.cool(self.target, cold, now);
         }
         if matches!(heard.outcome, Outcome::Done(_)) {
-            shared.record(&self.route, took);
+            shared.record(&self.route.name, took);
         }
         drop(open);
         (self.number, heard.outcome)
--- a/src/process/follow.rs
+++ b/src/process/follow.rs
@@ -11,7 +11,7 @@
 
 use rand::Rng;
 use tokio::sync::Notify;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::connection::keyspace::{Batch, Error, Event, Item, Keyspace, Lease, Revision};
@@ -21,8 +21,13 @@
 pub const WATCH: Duration = Duration::from_secs(8);
 /// How much longer than its wait a watch may take.
 pub const WATCH_MARGIN: Duration = Duration::from_millis(1_500);
-/// The pause after a watch that brought changes: changes come in series, and each call is counted.
-pub const GATHER: Duration = Duration::from_millis(60);
+/// The pause after a watch that brought changes.
+pub const GATHER_MIN: Duration = Duration::from_millis(40);
+/// The longest pause in a series of changes, such as a start of all targets: each call is counted, and
+/// a change may take seconds to be in force.
+pub const GATHER_MAX: Duration = Duration::from_millis(400);
+/// The time without changes after which a series is over.
+pub const SERIES: Duration = Duration::from_secs(1);
 /// The lifetime of the lease under which a node publishes itself.
 pub const LEASE: Duration = Duration::from_secs(6);
 /// The period of the lease's renewals.
@@ -207,7 +212,9 @@
             items,
             revision: after,
         });
+        let mut pause = GATHER_MIN;
         loop {
+            let start = Instant::now();
             let watch = bounded(WATCH + WATCH_MARGIN, keyspace.watch(prefix, after, WATCH));
             let batch = tokio::select! {
                 batch = watch => batch,
@@ -226,8 +233,12 @@
                         events,
                         revision,
                     });
+                    if start.elapsed() >= SERIES {
+                        pause = GATHER_MIN;
+                    }
                     if some {
-                        sleep(GATHER).await;
+                        sleep(pause).await;
+                        pause = (pause * 2).min(GATHER_MAX);
                     }
                 }
                 Err(Error::Compacted) => {
@@ -307,6 +318,8 @@
             }
             Err(cause) => {
                 link.fail(&cause, &notify);
+                // If this connection died in silence, those of the watches may have as well.
+                link.changed.notify_waiters();
                 pause()
             }
         };
