Keep connections after a loss of power below what targets accept

Queries that could not reach enough shards were sent to the others first and answered 502. Ruled out: the shares of a fleet that knows itself (no resets before 35 s). Change: a node assumes a large fleet until it has had time to hear of it, keeps second idle connections for half a second, leaves a target that cuts a new connection alone for a moment, and refuses at once, as not run, what too few services can answer.

--- a/src/connection/outbound.rs
+++ b/src/connection/outbound.rs
@@ -36,6 +36,9 @@
 pub const ANSWER_MAX: usize = 1 << 20;
 /// How long an idle connection is kept if the target does not say.
 const KEEP_DEFAULT: Duration = Duration::from_secs(4);
+/// How long a second idle connection to the same target is kept. Connections of a node that loses power
+/// count at the target until it closes them, so a node keeps few.
+const KEEP_FURTHER: Duration = Duration::from_millis(500);
 /// How much sooner than the target says a connection is given up: a request that crosses the target's
 /// close is lost.
 const KEEP_MARGIN: Duration = Duration::from_millis(700);
@@ -181,7 +184,8 @@
                     return Heard::without_answer(Outcome::NotRun(Cause::Unreachable));
                 }
                 Err(Broken::Sent) => {
-                    return Heard::without_answer(Outcome::Lost(Cause::Broken));
+                    let cause = if fresh { Cause::Cut } else { Cause::Broken };
+                    return Heard::without_answer(Outcome::Lost(cause));
                 }
             }
         }
@@ -207,11 +211,19 @@
         let keep = heard
             .keep
             .map_or(KEEP_DEFAULT, |keep| keep.saturating_sub(KEEP_MARGIN));
-        wire.until = self.clock.now() + keep;
         let mut idle = self.idle();
-        if let Some(entry) = idle.entry(key) {
-            entry.or_default().push(wire);
-        }
+        let Some(entry) = idle.entry(key) else {
+            return;
+        };
+        let wires = entry.or_default();
+        // The oldest connection stays at the bottom of the stack and serves when others are in use.
+        let keep = if wires.is_empty() {
+            keep
+        } else {
+            keep.min(KEEP_FURTHER)
+        };
+        wire.until = self.clock.now() + keep;
+        wires.push(wire);
     }
 
     fn idle(&self) -> std::sync::MutexGuard<'_, SecondaryMap<TargetKey, Vec<Wire>>> {
--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -23,6 +23,8 @@
 const FRESH: Duration = Duration::from_secs(2);
 /// How long another node may know of changes that this one lacks before the watches start again.
 const BEHIND: Duration = Duration::from_millis(400);
+/// How long after its start a node has heard of all others.
+const SETTLED: Duration = Duration::from_secs(10);
 /// Rounds of pulses between two looks at the seeds.
 const SEED_ROUNDS: u32 = 3;
 
@@ -287,7 +289,9 @@
     fn share(&self) {
         let mut names: Vec<String> = self.shared.roster().names().map(str::to_owned).collect();
         names.push(self.shared.config.node.name.clone());
-        self.shared.placement().share(&names);
+        let now = self.shared.clock.now();
+        let settled = now.since(Moment::ZERO) >= SETTLED;
+        self.shared.placement().share(&names, settled);
     }
 
     fn hear(&mut self, pulse: Pulse) {
--- a/src/process/entry/serve.rs
+++ b/src/process/entry/serve.rs
@@ -25,7 +25,10 @@
 const RUNNING_MAX: usize = 256;
 /// The time for the way back to the caller, by which the final answer precedes the caller's deadline.
 const WAY_BACK: Duration = Duration::from_millis(15);
-/// When a caller should come back to a node that has no settings yet, or has too much to do.
+/// When a caller should come back to a node that has no settings yet: most callers come back once, and a
+/// node that has just started without the store needs the store's return.
+const RETRY_AFTER_SETTINGS: Duration = Duration::from_millis(800);
+/// When a caller should come back to a node that has too much to do, or is not sure of a route.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
 impl<P> Entry<P>
@@ -39,7 +42,10 @@
         let _running = Running::new(shared);
         let refused = |reason| Verdict::Refused {
             reason,
-            retry_after: RETRY_AFTER,
+            retry_after: match reason {
+                Reason::NoSettings => RETRY_AFTER_SETTINGS,
+                _ => RETRY_AFTER,
+            },
         };
         if shared.running.load(Ordering::Relaxed) > RUNNING_MAX {
             return refused(Reason::Overload);
--- a/src/process/placement.rs
+++ b/src/process/placement.rs
@@ -36,6 +36,11 @@
 const SHUT_MAX: Duration = Duration::from_secs(1);
 /// How long a target may stay silent before one leg tries it again. Pauses end sooner than this.
 const STALL_PROBE: Duration = Duration::from_millis(700);
+/// How long a target gets nothing after it cut a new connection, which it does when it has too many.
+const CUT: Duration = Duration::from_millis(100);
+/// Nodes that are assumed after a start, before the others have been heard: connections of runs that
+/// lost power still count at the targets.
+const NODES_ASSUMED: usize = 24;
 /// The part of the cost that is drawn at random, so that nodes do not choose alike.
 const JITTER: f64 = 0.15;
 
@@ -118,6 +123,8 @@
     Failed,
     /// It could not be reached.
     Unreachable,
+    /// It cut a new connection without an answer.
+    Cut,
     /// Another target answered at its address.
     Misdirected,
     /// Nobody waited for the result.
@@ -133,14 +140,15 @@
             warmup: Warmup::open(node),
             data_centre,
             seen: SecondaryMap::new(),
-            nodes: 1,
+            nodes: NODES_ASSUMED,
             random: Pcg32::new(seed, 0xa02_bdbf_7bb3_c0a7),
         }
     }
 
-    /// Sets which nodes share the bounds.
-    pub fn share(&mut self, nodes: &[String]) {
-        self.nodes = nodes.len().max(1);
+    /// Sets which nodes share the bounds; `settled` tells whether all of them have had time to be heard.
+    pub fn share(&mut self, nodes: &[String], settled: bool) {
+        let assumed = if settled { 1 } else { NODES_ASSUMED };
+        self.nodes = nodes.len().max(assumed);
         self.budget.share(self.nodes);
         self.warmup.share(nodes);
     }
@@ -162,7 +170,7 @@
         effects
     }
 
-    /// Returns the connections that this node may hold to one target of a service.
+    /// Returns this node's share of the connections to one target of a service.
     pub fn connections(&self, table: &Table, service: &str) -> u32 {
         let most = table
             .service(service)
@@ -170,6 +178,12 @@
         (most / u32::try_from(self.nodes).unwrap_or(u32::MAX)).max(1)
     }
 
+    /// Tells whether some target of a service takes work, apart from those that are out of use for now.
+    pub fn has_target(&self, service: &str, now: Moment) -> bool {
+        self.reopens(service, now)
+            .is_some_and(|moment| moment <= now)
+    }
+
     /// Chooses a target of a service that is not in `tried` and counts a leg to it.
     pub fn pick(
         &mut self,
@@ -189,7 +203,9 @@
             let Some(seen) = self.seen.get_mut(key) else {
                 continue;
             };
-            if seen.shut_until > now || seen.open >= connections {
+            // More requests than the target has slots for would only wait there.
+            let room = connections.min(target.report.slots + 1);
+            if seen.shut_until > now || seen.open >= room {
                 continue;
             }
             // After a time out of use, one leg shows whether the target is back.
@@ -260,6 +276,10 @@
                 seen.shut = SHUT_MIN;
             }
             Sign::Failed => seen.errors += (1.0 - seen.errors) * ERROR_WEIGHT,
+            Sign::Cut => {
+                seen.errors += (1.0 - seen.errors) * ERROR_WEIGHT;
+                seen.shut_until = now + CUT;
+            }
             Sign::Unreachable => {
                 seen.shut_until = now + seen.shut;
                 seen.shut = (seen.shut * 2).min(SHUT_MAX);
--- a/src/request/fanout.rs
+++ b/src/request/fanout.rs
@@ -23,8 +23,9 @@
 const PAUSE_MIN: Duration = Duration::from_millis(10);
 /// When a hedge for which there was no budget or no target is tried again.
 const HEDGE_AGAIN: Duration = Duration::from_millis(40);
-/// The shortest time after which a caller should come back to a service that has no usable target.
-const RETRY_AFTER_MIN: Duration = Duration::from_millis(250);
+/// When a caller should come back to a service that has no target. Targets that register again do so
+/// within about two seconds, and most callers come back once.
+const RETRY_AFTER_MIN: Duration = Duration::from_millis(800);
 /// When a caller should come back to targets that are full.
 const RETRY_AFTER_SHED: Duration = Duration::from_millis(100);
 
@@ -228,6 +229,10 @@
         }
         match event {
             Event::Start => {
+                if let Some(verdict) = self.infeasible(now, placement) {
+                    self.finished = true;
+                    return vec![Action::Finish(verdict)];
+                }
                 actions.reserve(self.shards.len());
                 for at in 0..self.shards.len() {
                     placement.budget.earn(&self.shards[at].service);
@@ -250,6 +255,24 @@
         actions
     }
 
+    /// Refuses a request at once if too few services have a target that could answer.
+    fn infeasible(&self, now: Moment, placement: &Placement) -> Option<Verdict> {
+        let services = || self.shards.iter().map(|shard| &*shard.service);
+        let able = services().filter(|service| placement.has_target(service, now));
+        if able.count() >= self.needed {
+            return None;
+        }
+        // The time by which the last of the services that lack a target may have one again.
+        let reopens = services().map(|service| placement.reopens(service, now));
+        let wait = reopens
+            .map(|moment| moment.map_or(RETRY_AFTER_MIN, |moment| now.until(moment)))
+            .max();
+        Some(Verdict::Refused {
+            reason: Reason::NoTarget,
+            retry_after: wait.unwrap_or_default().max(RETRY_AFTER_SHED),
+        })
+    }
+
     /// Sends the first leg of a shard, or one after a refusal.
     fn send(
         &mut self,
@@ -544,6 +567,7 @@
     fn from(outcome: &Outcome) -> Self {
         match outcome {
             Outcome::Done(_) => None,
+            Outcome::Lost(Cause::Cut) => Some(Sign::Cut),
             Outcome::Failed(_) | Outcome::Lost(_) => Some(Sign::Failed),
             Outcome::NotRun(Cause::Misdirected) => Some(Sign::Misdirected),
             Outcome::NotRun(Cause::Unreachable) => Some(Sign::Unreachable),
--- a/src/request/reply.rs
+++ b/src/request/reply.rs
@@ -50,6 +50,9 @@
     /// The connection ended before the answer was whole.
     #[display("broken")]
     Broken,
+    /// A new connection ended before any answer.
+    #[display("cut")]
+    Cut,
     /// The answer belongs to another request, or bears no signature.
     #[display("foreign")]
     Foreign,
