--- /dev/null
+++ b/tests/fanout.rs
@@ -0,0 +1,309 @@
+//! Guards what callers get from one request, whatever its legs come to.
+
+mod entry_support;
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use entry_support::{
+    EXPECTED, HOME, ROOMY, add, add_pairs, at, gather, ms, one, placement, report, route, table,
+};
+use hyper::StatusCode;
+use hyper::header::{HeaderMap, HeaderValue};
+use redwinggrade::process::budget::Bound;
+use redwinggrade::process::placement::Placement;
+use redwinggrade::process::registry::TargetKey;
+use redwinggrade::request::fanout::{Action, Event, Fanout, Plan, REPLY_MARGIN};
+use redwinggrade::request::reply::{Answer, Cause, Outcome, Reason, Verdict};
+use redwinggrade::time::Moment;
+use redwinggrade::version::route::{Destination, Kind};
+use rstest::rstest;
+
+const HEDGE: u64 = 40;
+
+struct Run {
+    fanout: Fanout,
+    placement: Placement,
+    sent: Vec<(usize, TargetKey)>,
+    verdict: Option<Verdict>,
+}
+
+impl Run {
+    fn open(kind: Kind, destination: Destination, services: usize, placement: Placement) -> Self {
+        let route = Arc::new(route(kind, 2, destination));
+        let plan = Plan {
+            table: table((*route).clone(), services, None),
+            services: (0..services).map(|n| Arc::from(format!("s{n}"))).collect(),
+            arrived: at(0),
+            deadline: at(2_000),
+            expected: EXPECTED,
+            hedge: ms(HEDGE),
+            route,
+        };
+        Self {
+            fanout: Fanout::open(plan),
+            placement,
+            sent: Vec::new(),
+            verdict: None,
+        }
+    }
+
+    fn step(&mut self, event: Event, now: Moment) -> &mut Self {
+        for action in self.fanout.step(event, now, &mut self.placement) {
+            match action {
+                Action::Send { leg, target } => self.sent.push((leg, target)),
+                Action::Finish(verdict) => self.verdict = Some(verdict),
+            }
+        }
+        self
+    }
+
+    fn start(&mut self) -> &mut Self {
+        self.step(Event::Start, at(0))
+    }
+
+    fn end(&mut self, leg: usize, outcome: Outcome, now: Moment) -> &mut Self {
+        self.step(Event::Result { leg, outcome }, now)
+    }
+}
+
+fn answer(status: StatusCode, record: u8) -> Answer {
+    Answer {
+        status,
+        headers: HeaderMap::new(),
+        seal: HeaderValue::try_from(format!("seal-{record}")).ok(),
+        body: Bytes::from(vec![record; 16]),
+    }
+}
+
+fn done(record: u8) -> Outcome {
+    Outcome::Done(answer(StatusCode::OK, record))
+}
+
+fn failed() -> Outcome {
+    Outcome::Failed(answer(StatusCode::INTERNAL_SERVER_ERROR, 0))
+}
+
+fn pairs(services: usize) -> Placement {
+    let mut placement = placement(ROOMY);
+    add_pairs(&mut placement, services, at(0));
+    placement
+}
+
+#[test]
+fn a_complete_answer_merges_all_parts() {
+    let mut run = Run::open(Kind::Idempotent, gather(4, 0.75), 4, pairs(4));
+    run.start();
+    assert_eq!(run.sent.len(), 4);
+    for leg in 0..4 {
+        assert_eq!(run.verdict, None);
+        run.end(leg, done(leg as u8 + 1), at(20));
+    }
+    let Some(Verdict::Merged {
+        seals,
+        missing,
+        records,
+    }) = &run.verdict
+    else {
+        panic!("no merged answer: {:?}", run.verdict);
+    };
+    assert_eq!((seals.len(), *missing), (4, 0));
+    assert_eq!(records[..], [[4; 16], [3; 16], [2; 16]].concat());
+}
+
+#[test]
+fn a_slow_leg_is_hedged_once_and_only_the_first_answer_counts() {
+    let mut run = Run::open(Kind::Idempotent, gather(2, 1.0), 2, pairs(2));
+    run.start().end(0, done(1), at(20));
+    run.step(Event::Tick, at(HEDGE));
+    assert_eq!(run.sent.len(), 3);
+    assert_ne!(
+        run.sent[1].1, run.sent[2].1,
+        "the hedge goes to the replica"
+    );
+    run.step(Event::Tick, at(3 * HEDGE));
+    assert_eq!(run.sent.len(), 3);
+    run.end(2, done(2), at(3 * HEDGE)).end(1, done(3), at(130));
+    let Some(Verdict::Merged { seals, .. }) = &run.verdict else {
+        panic!("no merged answer: {:?}", run.verdict);
+    };
+    assert_eq!(seals, &["seal-1", "seal-2"]);
+}
+
+#[rstest]
+#[case::enough(15, true)]
+#[case::too_few(14, false)]
+fn an_incomplete_answer_leaves_at_the_objective_if_it_covers_enough(
+    #[case] answered: usize,
+    #[case] expected: bool,
+) {
+    let mut run = Run::open(Kind::Idempotent, gather(20, 0.75), 20, pairs(20));
+    run.start();
+    for leg in 0..answered {
+        run.end(leg, done(1), at(20));
+    }
+    let objective = at(150) - REPLY_MARGIN;
+    run.step(Event::Tick, objective - ms(1));
+    assert_eq!(run.verdict, None);
+    run.step(Event::Tick, objective);
+    let merged = matches!(run.verdict, Some(Verdict::Merged { missing: 5, .. }));
+    assert_eq!(merged, expected, "{:?}", run.verdict);
+}
+
+#[test]
+fn too_few_services_with_a_target_are_refused_before_anything_is_sent() {
+    let mut placement = placement(ROOMY);
+    add_pairs(&mut placement, 2, at(0));
+    let mut run = Run::open(Kind::Idempotent, gather(4, 0.75), 4, placement);
+    run.start();
+    assert!(run.sent.is_empty());
+    assert!(
+        matches!(
+            run.verdict,
+            Some(Verdict::Refused {
+                reason: Reason::NoTarget,
+                ..
+            })
+        ),
+        "{:?}",
+        run.verdict
+    );
+}
+
+#[test]
+fn a_shard_without_a_target_is_left_out_at_once() {
+    let mut placement = placement(ROOMY);
+    add_pairs(&mut placement, 3, at(0));
+    let mut run = Run::open(Kind::Idempotent, gather(4, 0.75), 4, placement);
+    run.start();
+    for leg in 0..3 {
+        run.end(leg, done(1), at(20));
+    }
+    assert!(matches!(
+        run.verdict,
+        Some(Verdict::Merged { missing: 1, .. })
+    ));
+}
+
+#[rstest]
+#[case::lost(Outcome::Lost(Cause::Broken))]
+#[case::foreign(Outcome::Lost(Cause::Foreign))]
+#[case::failed(failed())]
+fn a_request_that_may_run_again_is_tried_at_the_replica(#[case] outcome: Outcome) {
+    let mut run = Run::open(Kind::Idempotent, one(), 1, pairs(1));
+    run.start().end(0, outcome, at(5));
+    assert_eq!(run.sent.len(), 2);
+    assert_ne!(run.sent[0].1, run.sent[1].1);
+    run.end(1, done(1), at(20));
+    assert!(matches!(&run.verdict, Some(Verdict::Single(answer)) if answer.status == 200));
+}
+
+#[rstest]
+#[case::lost(Outcome::Lost(Cause::Broken))]
+#[case::timeout(Outcome::Lost(Cause::Timeout))]
+#[case::failed(failed())]
+fn a_request_that_runs_once_is_never_sent_after_it_may_have_run(#[case] outcome: Outcome) {
+    let mut run = Run::open(Kind::Once, one(), 1, pairs(1));
+    run.start()
+        .step(Event::Tick, at(500))
+        .end(0, outcome, at(501));
+    assert_eq!(run.sent.len(), 1);
+    assert!(
+        matches!(run.verdict, Some(Verdict::Unknown(_) | Verdict::Single(_))),
+        "{:?} promises that it has not run",
+        run.verdict
+    );
+}
+
+#[rstest]
+#[case::shed(Cause::Shed)]
+#[case::unreachable(Cause::Unreachable)]
+#[case::misdirected(Cause::Misdirected)]
+fn a_request_that_runs_once_is_sent_again_if_it_certainly_has_not_run(#[case] cause: Cause) {
+    let mut run = Run::open(Kind::Once, one(), 1, pairs(1));
+    run.start().end(0, Outcome::NotRun(cause), at(5));
+    assert_eq!(run.sent.len(), 2);
+    run.end(1, done(1), at(50));
+    assert!(matches!(run.verdict, Some(Verdict::Single(_))));
+}
+
+#[test]
+fn refusals_of_all_targets_are_passed_on_as_not_run_within_a_bounded_number_of_legs() {
+    let mut run = Run::open(Kind::Once, one(), 1, pairs(1));
+    run.start();
+    let mut now = at(1);
+    while run.verdict.is_none() {
+        let open = run.sent.len() - 1;
+        run.end(open, Outcome::NotRun(Cause::Shed), now);
+        now = now + ms(5);
+        while run.verdict.is_none() && run.sent.len() - 1 == open {
+            run.step(Event::Tick, now);
+            now = now + ms(5);
+        }
+    }
+    assert!(run.sent.len() <= 6, "{} legs", run.sent.len());
+    assert!(
+        matches!(run.verdict, Some(Verdict::Refused { .. })),
+        "{:?}",
+        run.verdict
+    );
+}
+
+#[test]
+fn without_budget_nothing_extra_is_sent() {
+    let tight = Bound {
+        ratio: 0.0,
+        slack: 0.0,
+    };
+    let mut budgetless = placement(tight);
+    add_pairs(&mut budgetless, 2, at(0));
+    for service in ["s0", "s1"] {
+        budgetless.budget.earn(&Arc::from(service));
+        while budgetless.budget.take(service) {}
+    }
+    let mut run = Run::open(Kind::Idempotent, gather(2, 1.0), 2, budgetless);
+    run.start().step(Event::Tick, at(HEDGE));
+    run.end(0, Outcome::Lost(Cause::Broken), at(50));
+    assert_eq!(run.sent.len(), 2);
+    assert!(
+        matches!(run.verdict, Some(Verdict::Unknown(_))),
+        "{:?}",
+        run.verdict
+    );
+}
+
+#[test]
+fn an_unreached_target_costs_no_budget() {
+    let tight = Bound {
+        ratio: 0.0,
+        slack: 0.0,
+    };
+    let mut budgetless = placement(tight);
+    add_pairs(&mut budgetless, 1, at(0));
+    budgetless.budget.earn(&Arc::from("s0"));
+    while budgetless.budget.take("s0") {}
+    let mut run = Run::open(Kind::Idempotent, one(), 1, budgetless);
+    run.start()
+        .end(0, Outcome::NotRun(Cause::Unreachable), at(1));
+    assert_eq!(run.sent.len(), 2);
+}
+
+#[rstest]
+#[case::started(Kind::Once)]
+#[case::repeatable(Kind::Idempotent)]
+fn the_deadline_ends_a_request_without_a_promise(#[case] kind: Kind) {
+    let mut placement = placement(ROOMY);
+    add(&mut placement, "t1", report("s0", HOME, 1), at(0));
+    let mut run = Run::open(kind, one(), 1, placement);
+    run.start().step(Event::Tick, at(2_000));
+    assert_eq!(run.verdict, Some(Verdict::Expired));
+}
+
+#[test]
+fn the_failure_of_the_only_target_is_passed_on_unchanged() {
+    let mut placement = placement(ROOMY);
+    add(&mut placement, "t1", report("s0", HOME, 1), at(0));
+    let mut run = Run::open(Kind::Once, one(), 1, placement);
+    run.start().end(0, failed(), at(5));
+    assert!(matches!(&run.verdict, Some(Verdict::Single(answer)) if answer.status == 500));
+}
--- /dev/null
+++ b/tests/placement.rs
@@ -0,0 +1,178 @@
+//! Guards the choice of targets under the troubles that a node can see only in its own legs.
+
+mod entry_support;
+
+use entry_support::{
+    AWAY, EXPECTED, HOME, ROOMY, add, add_pairs, at, gather, ms, one, placement, report, route,
+    table,
+};
+use redwinggrade::process::placement::{Placement, Sign};
+use redwinggrade::process::registry::TargetKey;
+use redwinggrade::time::Moment;
+use redwinggrade::version::change::Report;
+use redwinggrade::version::route::{Kind, Table};
+use rstest::rstest;
+
+fn pick(placement: &mut Placement, table: &Table, now: Moment) -> Option<TargetKey> {
+    placement.pick(table, "s0", &[], EXPECTED, now)
+}
+
+fn answered(millis: u64) -> Sign {
+    Sign::Answered {
+        took: ms(millis),
+        expected: EXPECTED,
+    }
+}
+
+/// Sends `legs` one after the other and returns how many went to `target`.
+fn share(
+    placement: &mut Placement,
+    table: &Table,
+    target: TargetKey,
+    legs: u32,
+    now: Moment,
+) -> u32 {
+    let mut count = 0;
+    for _ in 0..legs {
+        let picked = pick(placement, table, now).expect("some target takes work");
+        count += u32::from(picked == target);
+        placement.observe(picked, answered(20), now);
+    }
+    count
+}
+
+#[test]
+fn the_own_data_centre_is_preferred_while_its_target_is_sound() {
+    let mut placement = placement(ROOMY);
+    let [home, _] = add_pairs(&mut placement, 1, at(0))[0];
+    let table = table(route(Kind::Idempotent, 2, one()), 1, None);
+    assert!(share(&mut placement, &table, home, 100, at(1)) > 90);
+}
+
+#[rstest]
+#[case::slow(answered(160), 4)]
+#[case::failing(Sign::Failed, 4)]
+#[case::refusing(Sign::Refused, 8)]
+fn a_troubled_target_loses_its_legs_and_gets_them_back(#[case] sign: Sign, #[case] signs: u32) {
+    let mut placement = placement(ROOMY);
+    let [home, _] = add_pairs(&mut placement, 1, at(0))[0];
+    let table = table(route(Kind::Idempotent, 2, one()), 1, None);
+    for _ in 0..signs {
+        placement.observe(home, sign, at(1));
+    }
+    let during = share(&mut placement, &table, home, 50, at(2));
+    assert!(
+        during < 10,
+        "{during} of 50 legs went to the troubled target"
+    );
+    let after = share(&mut placement, &table, home, 50, at(30_000));
+    assert!(after > 40, "{after} of 50 legs went to it later");
+}
+
+#[test]
+fn a_stalled_target_gets_nothing_until_it_answers() {
+    let mut placement = placement(ROOMY);
+    let [home, away] = add_pairs(&mut placement, 1, at(0))[0];
+    let table = table(route(Kind::Idempotent, 2, one()), 1, None);
+    assert_eq!(pick(&mut placement, &table, at(0)), Some(home));
+    placement.overdue(home, at(40));
+    assert_eq!(pick(&mut placement, &table, at(41)), Some(away));
+    placement.observe(home, answered(150), at(150));
+    placement.observe(away, answered(20), at(150));
+    let back = share(&mut placement, &table, home, 20, at(10_000));
+    assert!(
+        back > 15,
+        "{back} of 20 legs went to the target that woke up"
+    );
+}
+
+#[test]
+fn a_silent_target_is_probed_by_one_leg_at_a_time() {
+    let mut placement = placement(ROOMY);
+    let [home, _] = add_pairs(&mut placement, 1, at(0))[0];
+    let table = table(route(Kind::Idempotent, 2, one()), 1, None);
+    placement.overdue(home, at(0));
+    let mut probes = 0;
+    for millis in (0..3_000).step_by(20) {
+        let picked = pick(&mut placement, &table, at(millis)).expect("the replica takes work");
+        if picked == home {
+            probes += 1;
+            placement.observe(picked, Sign::Dropped, at(millis));
+        } else {
+            placement.observe(picked, answered(20), at(millis));
+        }
+    }
+    assert!(
+        (2..=5).contains(&probes),
+        "{probes} probes in three seconds"
+    );
+}
+
+#[test]
+fn an_unreachable_target_is_left_alone_and_tried_by_one_leg() {
+    let mut placement = placement(ROOMY);
+    let key = add(&mut placement, "t1", report("s0", HOME, 1), at(0));
+    let table = table(route(Kind::Idempotent, 2, one()), 1, None);
+    assert_eq!(pick(&mut placement, &table, at(0)), Some(key));
+    placement.observe(key, Sign::Unreachable, at(1));
+    assert_eq!(pick(&mut placement, &table, at(2)), None);
+    let reopens = placement.reopens("s0", at(2)).expect("it may come back");
+    assert!(reopens > at(2) && !placement.has_target("s0", at(2)));
+    assert_eq!(pick(&mut placement, &table, reopens), Some(key));
+    assert_eq!(
+        pick(&mut placement, &table, reopens),
+        None,
+        "one leg tries it"
+    );
+    placement.observe(key, answered(20), reopens);
+    assert_eq!(pick(&mut placement, &table, reopens), Some(key));
+}
+
+#[test]
+fn a_node_keeps_its_share_of_the_connections() {
+    let mut placement = placement(ROOMY);
+    let roomy = Report {
+        slots: 100,
+        ..report("s0", HOME, 1)
+    };
+    add(&mut placement, "t1", roomy, at(0));
+    let table = table(route(Kind::Idempotent, 2, one()), 1, None);
+    let picked = (0..40)
+        .filter_map(|_| pick(&mut placement, &table, at(1)))
+        .count();
+    assert_eq!(picked, 13, "two nodes share 26 connections");
+}
+
+#[test]
+fn a_node_that_has_just_started_assumes_a_large_fleet() {
+    let mut placement = placement(ROOMY);
+    placement.share(&["n1".to_owned()], false);
+    let table = table(route(Kind::Idempotent, 2, one()), 1, None);
+    assert_eq!(placement.connections(&table, "s0"), 1);
+}
+
+#[test]
+fn a_cold_target_keeps_its_rate_also_if_it_is_the_only_one() {
+    let mut placement = placement(ROOMY);
+    let cold = Report {
+        cold: ms(10_000),
+        ..report("s0", AWAY, 1)
+    };
+    let key = add(&mut placement, "t1", cold, at(0));
+    let table = table(route(Kind::Idempotent, 2, gather(1, 1.0)), 1, Some(4.0));
+    let mut sent = 0;
+    for millis in (0..1_000).step_by(10) {
+        if let Some(key) = pick(&mut placement, &table, at(millis)) {
+            sent += 1;
+            placement.observe(key, answered(5), at(millis));
+        }
+    }
+    assert!(
+        (1..=3).contains(&sent),
+        "{sent} requests in a second at half of the rate of 4"
+    );
+    assert!(
+        share(&mut placement, &table, key, 50, at(10_000)) == 50,
+        "it is warm"
+    );
+}
--- /dev/null
+++ b/tests/roster.rs
@@ -0,0 +1,118 @@
+//! Guards the address lists: nodes that were killed leave them, nodes that the store forgot stay.
+
+mod entry_support;
+
+use std::net::SocketAddr;
+
+use entry_support::{AWAY, HOME, at, ms};
+use rand::SeedableRng;
+use rand_pcg::Pcg32;
+use redwinggrade::connection::keyspace::Revision;
+use redwinggrade::process::roster::{FORGET, PULSE, Pulse, Roster, SILENCE};
+use redwinggrade::time::Moment;
+use redwinggrade::version::change::Node;
+use redwinggrade::wire::Incarnation;
+
+fn node(number: u8, data_centre: &str) -> Node {
+    Node {
+        name: format!("n{number}"),
+        incarnation: Incarnation(1),
+        data_centre: data_centre.to_owned(),
+        caller: SocketAddr::from(([10, 0, 0, number], 80)),
+        peer: SocketAddr::from(([10, 0, 0, number], 81)),
+        pulse: SocketAddr::from(([10, 0, 0, number], 82)),
+    }
+}
+
+fn pulse(number: u8, data_centre: &str) -> Pulse {
+    Pulse {
+        node: node(number, data_centre),
+        ready: true,
+        fresh: true,
+        revision: Revision(1),
+    }
+}
+
+fn addresses(roster: &Roster, own: Option<&Node>, now: Moment) -> Vec<SocketAddr> {
+    let mut random = Pcg32::seed_from_u64(3);
+    let mut addresses = roster.addresses(HOME, own, &mut random, now);
+    addresses.sort();
+    addresses
+}
+
+fn callers(numbers: &[u8]) -> Vec<SocketAddr> {
+    numbers.iter().map(|&n| node(n, HOME).caller).collect()
+}
+
+#[test]
+fn only_nodes_that_were_heard_are_given_to_callers() {
+    let mut roster = Roster::default();
+    roster.list(node(1, HOME), at(0));
+    roster.list(node(2, HOME), at(0));
+    roster.hear(pulse(2, HOME), at(10));
+    roster.hear(pulse(3, HOME), at(10));
+    assert_eq!(addresses(&roster, None, at(20)), callers(&[2, 3]));
+}
+
+#[test]
+fn a_node_that_falls_silent_leaves_the_lists_although_its_record_stays() {
+    let mut roster = Roster::default();
+    roster.list(node(2, HOME), at(0));
+    roster.hear(pulse(2, HOME), at(0));
+    assert_eq!(
+        addresses(&roster, None, at(0) + SILENCE - ms(1)),
+        callers(&[2])
+    );
+    assert!(addresses(&roster, None, at(0) + SILENCE).is_empty());
+}
+
+#[test]
+fn a_living_node_stays_although_the_store_removed_its_record() {
+    let mut roster = Roster::default();
+    roster.list(node(2, HOME), at(0));
+    roster.unlist("n2", at(100));
+    let mut now = at(100);
+    while now < at(100) + FORGET * 2 {
+        roster.hear(pulse(2, HOME), now);
+        roster.expire(now);
+        assert_eq!(addresses(&roster, None, now), callers(&[2]));
+        now = now + PULSE;
+    }
+}
+
+#[test]
+fn a_stopping_node_leaves_the_lists_with_its_next_pulse() {
+    let mut roster = Roster::default();
+    roster.hear(pulse(2, HOME), at(0));
+    roster.hear(
+        Pulse {
+            ready: false,
+            ..pulse(2, HOME)
+        },
+        at(1),
+    );
+    assert!(addresses(&roster, None, at(2)).is_empty());
+}
+
+#[test]
+fn the_nearest_nodes_are_given_and_others_fill_a_short_list() {
+    let mut roster = Roster::default();
+    for (number, data_centre) in [(2, HOME), (3, AWAY), (4, AWAY)] {
+        roster.hear(pulse(number, data_centre), at(0));
+    }
+    let own = node(1, HOME);
+    assert_eq!(addresses(&roster, Some(&own), at(1)), callers(&[1, 2]));
+    let filled = addresses(&roster, None, at(1));
+    assert_eq!(filled.len(), 2);
+    assert!(filled.contains(&node(2, HOME).caller));
+}
+
+#[test]
+fn a_node_that_gave_no_sign_for_long_is_forgotten() {
+    let mut roster = Roster::default();
+    roster.hear(pulse(2, HOME), at(0));
+    roster.expire(at(0) + FORGET - ms(1));
+    assert_eq!(roster.names().count(), 1);
+    roster.expire(at(0) + FORGET);
+    assert_eq!(roster.names().count(), 0);
+}
--- /dev/null
+++ b/tests/route.rs
@@ -0,0 +1,59 @@
+//! Guards the choice of a route and the number of shards that make an answer.
+
+mod entry_support;
+
+use entry_support::{one, route, table};
+use redwinggrade::version::route::{Gather, Kind, Limits, Number, Route, Table};
+use rstest::rstest;
+use std::sync::Arc;
+
+fn named(name: &str, prefix: &str) -> Route {
+    Route {
+        name: Arc::from(name),
+        prefix: prefix.to_owned(),
+        ..route(Kind::Idempotent, 1, one())
+    }
+}
+
+#[rstest]
+#[case::longest_prefix("host.example", "/a/b/c", Some("long"))]
+#[case::shorter_prefix("host.example", "/a/c", Some("short"))]
+#[case::no_prefix("host.example", "/b/c", None)]
+#[case::prefix_is_whole_segments("host.example", "/a/bc", Some("short"))]
+#[case::other_host("other.example", "/a/b/c", None)]
+fn the_longest_prefix_of_the_host_wins(
+    #[case] host: &str,
+    #[case] path: &str,
+    #[case] expected: Option<&str>,
+) {
+    let routes = [named("short", "/a/"), named("long", "/a/b/")];
+    let table = Table::new(Number(1), Limits::default(), routes, []);
+    assert_eq!(table.find(host, path).map(|route| &*route.name), expected);
+}
+
+#[rstest]
+#[case(20, 0.89, 18)]
+#[case(20, 0.9, 18)]
+#[case(20, 0.75, 15)]
+#[case(90, 0.95, 86)]
+#[case(3, 0.0, 1)]
+#[case(3, 1.0, 3)]
+fn the_least_coverage_is_rounded_up(
+    #[case] shards: usize,
+    #[case] least_coverage: f64,
+    #[case] expected: usize,
+) {
+    let gather = Gather {
+        shards: (0..shards).map(|n| Arc::from(n.to_string())).collect(),
+        limit: 1,
+        least_coverage,
+    };
+    assert_eq!(gather.needed(), expected);
+}
+
+#[test]
+fn a_table_knows_its_services() {
+    let table = table(route(Kind::Once, 1, one()), 1, Some(4.0));
+    assert_eq!(table.service("s0").and_then(|it| it.cold_rate), Some(4.0));
+    assert!(table.service("s1").is_none());
+}
--- /dev/null
+++ b/tests/warmup.rs
@@ -0,0 +1,59 @@
+//! Guards cold targets: all nodes together keep the rate that a cold target bears.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use redwinggrade::process::warmup::Warmup;
+use redwinggrade::time::Moment;
+use rstest::rstest;
+
+/// What the rules allow beside the rate.
+const OVERSHOOT: f64 = 1.5;
+const SLACK: f64 = 5.0;
+
+#[rstest]
+#[case::slow(1.0, 9, 9)]
+#[case::usual(4.0, 9, 9)]
+#[case::fast(20.0, 9, 9)]
+#[case::many_nodes(4.0, 90, 90)]
+#[case::few_nodes(4.0, 2, 2)]
+#[case::one_half_knows_one_node_less(4.0, 9, 8)]
+fn any_second_keeps_the_bound(#[case] rate: f64, #[case] nodes: usize, #[case] known: usize) {
+    let names: Vec<String> = (0..nodes).map(|n| format!("n{n}")).collect();
+    for target in 0..4 {
+        let target: Arc<str> = Arc::from(format!("t{target}"));
+        let mut warmups: Vec<Warmup> = names
+            .iter()
+            .enumerate()
+            .map(|(n, name)| {
+                let mut warmup = Warmup::open(name);
+                let share = if n % 2 == 0 {
+                    &names[..]
+                } else {
+                    &names[..known]
+                };
+                warmup.share(share);
+                warmup
+            })
+            .collect();
+        let mut sent = Vec::new();
+        for millis in (0..5_000).step_by(5) {
+            let now = Moment::from_millis(10_000 + millis);
+            for warmup in &mut warmups {
+                if warmup.may_take(&target, rate, now) {
+                    warmup.take(&target, now);
+                    sent.push(now);
+                }
+            }
+        }
+        assert!(!sent.is_empty(), "some node may use {target}");
+        for &start in &sent {
+            let end = start + Duration::from_secs(1);
+            let second = sent.iter().filter(|&&at| at >= start && at < end).count();
+            assert!(
+                second as f64 <= rate * OVERSHOOT + SLACK,
+                "{second} requests to {target} within a second at a rate of {rate}"
+            );
+        }
+    }
+}
