--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -10,10 +10,12 @@
 pub mod explain;
 pub mod history;
 pub mod instance;
+pub mod logs;
 pub mod node;
 pub mod query;
 pub mod show;
 pub mod status;
+pub mod trace;
 
 use std::io::{self, Write};
 use std::net::SocketAddr;
@@ -75,6 +77,8 @@
     DataCentre(data_centre::Arguments),
     Instance(instance::Arguments),
     Status(status::Arguments),
+    Trace(trace::Arguments),
+    Logs(logs::Arguments),
 }
 
 /// The exit codes of the operators' client.
@@ -219,6 +223,8 @@
         Command::DataCentre(arguments) => data_centre::run(arguments, &context).await,
         Command::Instance(arguments) => instance::run(arguments, &context).await,
         Command::Status(arguments) => status::run(arguments, &context).await,
+        Command::Trace(arguments) => trace::run(arguments),
+        Command::Logs(arguments) => logs::run(arguments),
     };
     match print(result, options.json) {
         Ok(exit) => ExitCode::from(exit as u8),
--- /dev/null
+++ b/src/command/trace.rs
@@ -0,0 +1,56 @@
+//! `redwinggrade trace ID [FILE]...`
+//!
+//! Prints what the log lines of all nodes say about one request, in order. Without files it reads
+//! standard input. Malformed lines, such as the last one of a file that was cut off, are counted and
+//! passed over.
+
+use std::fmt::Write as _;
+
+use clap::Args;
+use serde_json::{Value as Json, json};
+
+use super::{Exit, Failure, Report, logs};
+use crate::process::journal::read::{Line, Story, render};
+
+/// Tell the story of one request from the nodes' logs.
+#[derive(Debug, Args)]
+pub struct Arguments {
+    /// The request id.
+    request: String,
+    /// Log files; standard input if none is given.
+    files: Vec<String>,
+}
+
+/// Runs the command.
+pub fn run(arguments: &Arguments) -> Result<Report, Failure> {
+    let mut story = Story::default();
+    let mut malformed = 0_u64;
+    logs::each_line(&arguments.files, |_, _, text| match Line::parse(text) {
+        Ok(line) => story.add(line, &arguments.request),
+        Err(_) => malformed += 1,
+    })?;
+    if story.is_empty() {
+        let message = format!(
+            "no line is about request {} ({malformed} malformed lines passed over)",
+            arguments.request
+        );
+        return Err(Failure::new(Exit::Error, message).hint(
+            "requests that were answered in time are logged one in 64; failed ones always, up to \
+             the rate in docs/OPERATIONS.md",
+        ));
+    }
+    let lines = story.into_lines();
+    let mut text = render(&lines);
+    if malformed > 0 {
+        // Writing to a string cannot fail.
+        let _ = writeln!(text, "{malformed} malformed lines passed over");
+    }
+    let lines: Vec<Json> = lines
+        .into_iter()
+        .map(|it| Json::Object(it.fields))
+        .collect();
+    Ok(Report::ok(
+        text,
+        json!({ "lines": lines, "malformed": malformed }),
+    ))
+}
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -18,6 +18,8 @@
 use rand::Rng;
 
 use super::budget::{Bound, Budget};
+use super::journal::Limit;
+use super::meters::Meters;
 use super::mirror::{Copy, Mirror};
 use super::placement::Placement;
 use super::roster::Roster;
@@ -103,6 +105,22 @@
     fresh_until: AtomicU64,
     stopping: AtomicBool,
     running: AtomicUsize,
+    meters: Meters,
+    lines: Mutex<Lines>,
+}
+
+/// The rates of the kinds of log lines that requests cause.
+#[derive(Debug)]
+struct Lines {
+    requests: Limit,
+    legs: Limit,
+}
+
+impl Lines {
+    /// Failed and refused requests that are logged a second; an overloaded node refuses many more.
+    const REQUESTS_PER_SECOND: u32 = 50;
+    /// Legs that are logged a second: a query over twenty shards may fail at all of them.
+    const LEGS_PER_SECOND: u32 = 100;
 }
 
 /// How long legs of a route take.
@@ -184,6 +202,11 @@
             fresh_until: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
             running: AtomicUsize::new(0),
+            meters: Meters::open(),
+            lines: Mutex::new(Lines {
+                requests: Limit::open(Lines::REQUESTS_PER_SECOND),
+                legs: Limit::open(Lines::LEGS_PER_SECOND),
+            }),
             config,
         });
         let control = control::spawn(Arc::clone(&shared), &platform.keyspace, dialect)
@@ -222,6 +245,14 @@
         self.shared.mirrors().iter().map(Mirror::copy).collect()
     }
 
+    /// Renders the meters in the Prometheus text format.
+    pub fn metrics(&self) -> String {
+        let lines = self.shared.lines();
+        let limited = lines.requests.dropped() + lines.legs.dropped();
+        drop(lines);
+        self.shared.meters.render(limited)
+    }
+
     /// Stops as planned: leaves the address lists, serves for as long as callers keep them, and
     /// finishes what runs.
     pub async fn stop(&self) {
@@ -267,6 +298,10 @@
         self.roster.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn lines(&self) -> MutexGuard<'_, Lines> {
+        self.lines.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn mirrors(&self) -> MutexGuard<'_, Vec<Mirror>> {
         self.mirrors.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -113,6 +113,7 @@
             &keyspace,
             dialect.prefixes(),
             dialect.publish(node),
+            shared.meters.clone(),
             move |notice| {
                 let _running = actor.cast(Message::Notice(notice));
             },
@@ -182,12 +183,13 @@
             }
             Notice::Store { answers, cause } => {
                 if answers {
-                    log::info!("the store answers again");
+                    log::info!("store regained");
                 } else {
                     let cause = cause.map(|cause| cause.to_string());
-                    log::warn!(cause:? = cause; "the store does not answer");
+                    log::warn!(cause:? = cause; "store lost");
                 }
                 self.store_answers = answers;
+                self.shared.meters.store_up.set(i64::from(answers));
                 self.shared.placement().registry.set_store(answers, now);
             }
         }
@@ -220,20 +222,30 @@
                 let known = self.shared.table.load();
                 let known = known.as_ref().map(|known| known.number);
                 if known.is_some_and(|known| known >= table.number) {
-                    log::warn!(version:% = table.number; "settings that are not newer are ignored");
+                    log::warn!(version = table.number.0; "older settings ignored");
                     return;
                 }
-                log::info!(version:% = table.number; "settings are in force");
+                let previous = known.map_or(0, |known| known.0);
+                log::info!(version = table.number.0, previous; "settings in force");
+                let version = i64::try_from(table.number.0).unwrap_or(i64::MAX);
+                self.shared.meters.settings_version.set(version);
                 self.shared.table.store(Some(Arc::new(table)));
             }
             (Subject::Evacuation(data_centre), Meaning::Evacuation) => {
-                log::info!(data_centre:% = data_centre; "the data centre is evacuated");
+                log::info!(data_centre:% = data_centre; "data centre evacuated");
                 self.shared
                     .placement()
                     .registry
                     .evacuate(&data_centre, true);
             }
             (Subject::Target(name), Meaning::Target(report)) => {
+                let (service, address) = (Arc::clone(&report.service), report.address);
+                let (state, cold_ms) = (report.state, report.cold.as_millis());
+                log::info!(
+                    target_name:% = name, service:% = service, address:% = address, state:? = state,
+                    cold_ms = cold_ms as u64;
+                    "target reported"
+                );
                 let effects = self.shared.placement().put(&name, report, now);
                 for effect in effects {
                     self.effect(effect);
@@ -245,14 +257,22 @@
                 self.shared.roster().list(node, now);
                 self.share();
             }
-            (Subject::Target(name), _) => {
-                log::warn!(key; "the entry names no target");
+            (Subject::Target(name), meaning) => {
+                self.shared.meters.unreadable.inc();
+                let cause = match meaning {
+                    Meaning::Unreadable(cause) => cause,
+                    _ => "not an entry".to_owned(),
+                };
+                log::warn!(key, cause; "entry names no target");
                 let effect = self.shared.placement().registry.invalidate(&name);
                 if let Some(effect) = effect {
                     self.effect(effect);
                 }
             }
-            (_, Meaning::Unreadable(text)) => log::warn!(key, text; "an item is unreadable"),
+            (subject, Meaning::Unreadable(cause)) if subject != Subject::Other => {
+                self.shared.meters.unreadable.inc();
+                log::warn!(key, cause; "item unreadable, last good one kept");
+            }
             _ => {}
         }
     }
@@ -261,12 +281,14 @@
         match subject {
             Subject::Target(name) => {
                 let effect = self.shared.placement().registry.remove(&name, now);
+                let kept = matches!(effect, Some(Effect::Changed(_)));
+                log::info!(target_name:% = name, kept; "target entry removed");
                 if let Some(effect) = effect {
                     self.effect(effect);
                 }
             }
             Subject::Evacuation(data_centre) => {
-                log::info!(data_centre:% = data_centre; "the data centre is back");
+                log::info!(data_centre:% = data_centre; "data centre back");
                 self.shared
                     .placement()
                     .registry
@@ -350,15 +372,31 @@
         self.shared.roster().expire(now);
         self.shared.pool.expire(now);
         let effects = self.shared.placement().registry.expire(now);
+        if !effects.is_empty() {
+            log::info!(count = effects.len(); "targets did not come back after the store's outage");
+        }
         for effect in effects {
             self.effect(effect);
         }
         if self.store_answers {
             self.shared.refresh_if_quiet(now + FRESH);
         }
+        self.gauge(now);
         self.catch_up(myself, now);
     }
 
+    fn gauge(&self, now: Moment) {
+        let meters = &self.shared.meters;
+        let count = |number: usize| i64::try_from(number).unwrap_or(i64::MAX);
+        let targets = self.shared.placement().registry.targets().count();
+        meters.targets.set(count(targets));
+        meters
+            .nodes
+            .set(count(self.shared.roster().alive(now).count()));
+        let running = self.shared.running.load(Ordering::Relaxed);
+        meters.running.set(count(running));
+    }
+
     /// Starts the watches again, or asks another node, if this one lacks changes.
     fn catch_up(&mut self, myself: &ActorRef<Message>, now: Moment) {
         let without_settings = self.shared.table.load().is_none() && !self.store_answers;
--- a/src/process/entry/serve.rs
+++ b/src/process/entry/serve.rs
@@ -7,16 +7,19 @@
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
+use hyper::header::HeaderValue;
 use rand::Rng;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::{Arrival, Entry, Shared};
 use crate::connection::outbound::{Call, Peer, Protocol};
-use crate::process::placement::Sign;
+use crate::process::placement::{Evidence, Sign};
 use crate::process::registry::TargetKey;
-use crate::request::fanout::{Action, Event, Fanout, Plan};
+use crate::request::fanout::{Action, Event, Extra, Fanout, Plan};
 use crate::request::reply::{Cause, Invalid, Outcome, Reason, Verdict};
 use crate::time::Moment;
 use crate::version::route::{Destination, Kind, Route};
+use crate::wire;
 
 /// How long the losers of hedges may finish after their request has been answered.
 const LINGER: Duration = Duration::from_millis(400);
@@ -37,9 +40,16 @@
 {
     /// Serves a request; dropping the future cancels its legs.
     pub async fn answer(&self, arrival: Arrival) -> Verdict {
+        let shared = &self.shared;
+        let mut report = Report::open(shared, &arrival.call);
+        let verdict = self.decide(arrival, &mut report).await;
+        report.end(&verdict);
+        verdict
+    }
+
+    async fn decide(&self, arrival: Arrival, report: &mut Report<P>) -> Verdict {
         let shared = &self.shared;
         let now = shared.clock.now();
-        let _running = Running::new(shared);
         let refused = |reason| Verdict::Refused {
             reason,
             retry_after: match reason {
@@ -61,6 +71,8 @@
             };
         };
         let route = Arc::clone(route);
+        report.version = table.number.0;
+        report.route = Some(Arc::clone(&route));
         let services = services(&route);
         let (expected, hedge) = shared.expect(&route, services.len());
         let patience = arrival
@@ -75,7 +87,7 @@
             expected,
             hedge,
         };
-        run(Arc::clone(shared), plan, arrival.call).await
+        run(Arc::clone(shared), plan, arrival.call, report).await
     }
 }
 
@@ -99,7 +111,7 @@
     }
 }
 
-async fn run<P>(shared: Arc<Shared<P>>, plan: Plan, call: Call) -> Verdict
+async fn run<P>(shared: Arc<Shared<P>>, plan: Plan, call: Call, report: &mut Report<P>) -> Verdict
 where
     P: Protocol,
 {
@@ -118,11 +130,14 @@
         };
         for action in actions {
             match action {
-                Action::Send { leg, target } => {
+                Action::Send { leg, target, cause } => {
                     let leg = Leg {
                         shared: Arc::clone(&shared),
                         number: leg,
+                        service: Arc::clone(fanout.service(leg)),
                         target,
+                        cause,
+                        sampled: report.sampled,
                         expected,
                         deadline,
                         route: Arc::clone(&route),
@@ -130,6 +145,7 @@
                     legs.push(leg.run(Arc::clone(&call)));
                 }
                 Action::Finish(verdict) => {
+                    report.fanout(&fanout);
                     if !legs.is_empty() {
                         let finish = async move { while legs.next().await.is_some() {} };
                         tokio::spawn(tokio::time::timeout(LINGER, finish));
@@ -156,7 +172,11 @@
 struct Leg<P> {
     shared: Arc<Shared<P>>,
     number: usize,
+    service: Arc<str>,
     target: TargetKey,
+    cause: wire::Cause,
+    /// Whether every decision about the request is logged.
+    sampled: bool,
     expected: Duration,
     deadline: Moment,
     route: Arc<Route>,
@@ -174,18 +194,20 @@
             target: self.target,
             sign: Sign::Dropped,
         };
-        let peer = {
+        let (peer, evidence) = {
             let placement = shared.placement();
-            placement.registry.get(self.target).map(|target| Peer {
+            let peer = placement.registry.get(self.target).map(|target| Peer {
                 key: self.target,
                 name: Arc::clone(&target.name),
                 address: target.report.address,
                 alone: self.route.kind == Kind::Once,
-            })
+            });
+            (peer, placement.evidence(self.target, start))
         };
         let Some(peer) = peer else {
             return (self.number, Outcome::NotRun(Cause::Gone));
         };
+        self.log_sent(&call, &peer, evidence, start);
         let heard = shared
             .pool
             .call(&shared.protocol, &call, &peer, self.deadline)
@@ -203,8 +225,62 @@
             shared.record(&self.route.name, took);
         }
         drop(open);
+        self.log_ended(&call, &peer, &heard.outcome, took, now);
         (self.number, heard.outcome)
     }
+
+    fn log_sent(&self, call: &Call, peer: &Peer, evidence: Option<Evidence>, now: Moment) {
+        let cause = cause_name(self.cause);
+        self.shared.meters.leg(cause);
+        let wanted = self.sampled || self.cause != wire::Cause::First;
+        let (Some(evidence), true) = (evidence, wanted) else {
+            return;
+        };
+        if !self.shared.lines().legs.admit(now) {
+            return;
+        }
+        log::info!(
+            request:% = text(&call.id), leg = self.number, cause, service:% = self.service,
+            target_name:% = peer.name, open = evidence.open, slowness = evidence.slowness,
+            errors = evidence.errors, stalled_ms = evidence.stalled.map(millis);
+            "leg sent"
+        );
+    }
+
+    fn log_ended(&self, call: &Call, peer: &Peer, outcome: &Outcome, took: Duration, now: Moment) {
+        let (name, reason) = match outcome {
+            Outcome::Done(_) => ("done", String::new()),
+            Outcome::Failed(answer) => ("failed", answer.status.as_u16().to_string()),
+            Outcome::NotRun(cause) => ("not_run", cause.to_string()),
+            Outcome::Lost(cause) => ("lost", cause.to_string()),
+        };
+        self.shared.meters.leg_end(name, reason.clone(), took);
+        let wanted = self.sampled || name != "done";
+        if wanted && self.shared.lines().legs.admit(now) {
+            log::info!(
+                request:% = text(&call.id), leg = self.number, service:% = self.service,
+                target_name:% = peer.name, outcome = name, reason, took_ms = millis(took),
+                expected_ms = millis(self.expected);
+                "leg ended"
+            );
+        }
+    }
+}
+
+const fn cause_name(cause: wire::Cause) -> &'static str {
+    match cause {
+        wire::Cause::First => "first",
+        wire::Cause::Hedge => "hedge",
+        wire::Cause::Retry | wire::Cause::Restart => "retry",
+    }
+}
+
+fn millis(time: Duration) -> f64 {
+    (time.as_secs_f64() * 10_000.0).round() / 10.0
+}
+
+fn text(id: &HeaderValue) -> &str {
+    id.to_str().unwrap_or("not text")
 }
 
 /// Tells the placement what became of a leg, also if it is dropped.
@@ -221,18 +297,107 @@
     }
 }
 
-/// Counts a request of a caller for as long as it lives.
-struct Running<'a, P>(&'a Shared<P>);
+/// Counts a request of a caller for as long as it lives, and reports its end, also if its caller leaves.
+struct Report<P> {
+    shared: Arc<Shared<P>>,
+    id: HeaderValue,
+    start: Moment,
+    sampled: bool,
+    version: u64,
+    route: Option<Arc<Route>>,
+    answered: usize,
+    shards: usize,
+    legs: usize,
+    extra: Extra,
+    missing: Vec<String>,
+    ended: bool,
+}
 
-impl<'a, P> Running<'a, P> {
-    fn new(shared: &'a Shared<P>) -> Self {
+impl<P> Report<P> {
+    /// One request in this number is logged in full.
+    const SAMPLE: u64 = 64;
+    /// Services that a line names at most.
+    const MISSING_MAX: usize = 5;
+
+    fn open(shared: &Arc<Shared<P>>, call: &Call) -> Self {
         shared.running.fetch_add(1, Ordering::AcqRel);
-        Self(shared)
+        Self {
+            shared: Arc::clone(shared),
+            id: call.id.clone(),
+            start: shared.clock.now(),
+            sampled: xxh3_64(call.id.as_bytes()).is_multiple_of(Self::SAMPLE),
+            version: 0,
+            route: None,
+            answered: 0,
+            shards: 0,
+            legs: 0,
+            extra: Extra::default(),
+            missing: Vec::new(),
+            ended: false,
+        }
+    }
+
+    fn fanout(&mut self, fanout: &Fanout) {
+        (self.answered, self.shards) = fanout.coverage();
+        self.legs = fanout.legs();
+        self.extra = fanout.extra();
+        let missing = fanout.missing().take(Self::MISSING_MAX);
+        self.missing = missing.map(str::to_owned).collect();
+    }
+
+    fn end(&mut self, verdict: &Verdict) {
+        let mut retry_after = None;
+        let (outcome, reason) = match verdict {
+            Verdict::Single(answer) if answer.status.is_success() => ("answered", String::new()),
+            Verdict::Single(answer) => ("failed", answer.status.as_u16().to_string()),
+            Verdict::Merged { missing: 0, .. } => ("answered", String::new()),
+            Verdict::Merged { .. } => ("partial", String::new()),
+            Verdict::Refused {
+                reason,
+                retry_after: after,
+            } => {
+                retry_after = Some(millis(*after));
+                ("refused", reason.to_string())
+            }
+            Verdict::Unknown(reason) => ("unknown", reason.to_string()),
+            Verdict::Expired => ("expired", String::new()),
+            Verdict::Invalid(invalid) => ("invalid", invalid.to_string()),
+        };
+        if matches!(verdict, Verdict::Merged { .. }) {
+            let coverage = self.answered as f64 / self.shards.max(1) as f64;
+            self.shared.meters.coverage.observe(coverage);
+        }
+        self.write(outcome, &reason, retry_after);
+    }
+
+    fn write(&mut self, outcome: &'static str, reason: &str, retry_after: Option<f64>) {
+        self.ended = true;
+        let now = self.shared.clock.now();
+        let took = now.since(self.start);
+        self.shared.meters.request(outcome, reason.to_owned(), took);
+        let route = self.route.as_ref();
+        let late = route.is_some_and(|route| took > route.objective);
+        let wanted = self.sampled || late || outcome != "answered";
+        if !wanted || !self.shared.lines().requests.admit(now) {
+            return;
+        }
+        log::info!(
+            request:% = text(&self.id), outcome, reason, late, took_ms = millis(took),
+            objective_ms = route.map(|route| millis(route.objective)),
+            route = route.map_or("", |route| &*route.name), version = self.version,
+            answered = self.answered, shards = self.shards, missing = self.missing.join(","),
+            legs = self.legs, hedges = self.extra.hedges, retries = self.extra.retries,
+            retry_after_ms = retry_after;
+            "request ended"
+        );
     }
 }
 
-impl<P> Drop for Running<'_, P> {
+impl<P> Drop for Report<P> {
     fn drop(&mut self) {
-        self.0.running.fetch_sub(1, Ordering::AcqRel);
+        self.shared.running.fetch_sub(1, Ordering::AcqRel);
+        if !self.ended {
+            self.write("abandoned", "", None);
+        }
     }
 }
--- a/src/process/follow.rs
+++ b/src/process/follow.rs
@@ -14,6 +14,7 @@
 use tokio::time::{Instant, sleep, timeout};
 use tokio_util::task::AbortOnDropHandle;
 
+use super::meters::{Call, Meters};
 use crate::connection::keyspace::{Batch, Error, Event, Item, Keyspace, Lease, Revision};
 
 /// The longest wait of one watch. A connection that died in silence is noticed after this time at the
@@ -82,6 +83,7 @@
 /// What the tasks share.
 #[derive(Debug)]
 struct Link {
+    meters: Meters,
     answers: AtomicBool,
     failures: AtomicU32,
     stopping: AtomicBool,
@@ -97,6 +99,7 @@
         keyspace: &Arc<K>,
         prefixes: &[&'static str],
         record: (String, Vec<u8>),
+        meters: Meters,
         notify: F,
     ) -> Self
     where
@@ -104,6 +107,7 @@
         F: Fn(Notice) + Clone + Send + Sync + 'static,
     {
         let link = Arc::new(Link {
+            meters,
             answers: AtomicBool::new(true),
             failures: AtomicU32::new(0),
             stopping: AtomicBool::new(false),
@@ -180,14 +184,26 @@
     rand::rng().random_range(RETRY_MIN..RETRY_MAX)
 }
 
-/// Bounds the time of a call.
-async fn bounded<T, F>(limit: Duration, call: F) -> Result<T, Error>
+/// Bounds the time of a call, and counts it.
+async fn bounded<T, F>(
+    meters: &Meters,
+    name: &'static str,
+    limit: Duration,
+    call: F,
+) -> Result<T, Error>
 where
     F: Future<Output = Result<T, Error>>,
 {
-    timeout(limit, call)
+    let result = timeout(limit, call)
         .await
-        .unwrap_or_else(|_elapsed| Err(Error::Lost("no answer in time".to_owned())))
+        .unwrap_or_else(|_elapsed| Err(Error::Lost("no answer in time".to_owned())));
+    let outcome = if result.is_ok() { "ok" } else { "failed" };
+    let call = Call {
+        call: name,
+        outcome,
+    };
+    meters.store.get_or_create(&call).inc();
+    result
 }
 
 /// Lists a prefix and then watches it, for ever.
@@ -198,7 +214,7 @@
 {
     loop {
         let (items, mut after) = loop {
-            match list(&*keyspace, prefix).await {
+            match list(&*keyspace, &link.meters, prefix).await {
                 Ok(listed) => break listed,
                 Err(cause) => {
                     link.fail(&cause, &notify);
@@ -215,7 +231,12 @@
         let mut pause = GATHER_MIN;
         loop {
             let start = Instant::now();
-            let watch = bounded(WATCH + WATCH_MARGIN, keyspace.watch(prefix, after, WATCH));
+            let watch = bounded(
+                &link.meters,
+                "watch",
+                WATCH + WATCH_MARGIN,
+                keyspace.watch(prefix, after, WATCH),
+            );
             let batch = tokio::select! {
                 batch = watch => batch,
                 () = link.changed.notified() => {
@@ -266,7 +287,11 @@
     }
 }
 
-async fn list<K>(keyspace: &K, prefix: &str) -> Result<(Vec<Item>, Revision), Error>
+async fn list<K>(
+    keyspace: &K,
+    meters: &Meters,
+    prefix: &str,
+) -> Result<(Vec<Item>, Revision), Error>
 where
     K: Keyspace,
 {
@@ -274,7 +299,13 @@
     let mut first = None;
     loop {
         let after = items.last().map(|item| item.key.clone());
-        let page = bounded(CALL, keyspace.list(prefix, after.as_deref())).await?;
+        let page = bounded(
+            meters,
+            "list",
+            CALL,
+            keyspace.list(prefix, after.as_deref()),
+        )
+        .await?;
         // Pages are no snapshot; the watch from the first one's revision repeats what changed since.
         let revision = *first.get_or_insert(page.revision);
         let stuck = page.items.is_empty();
@@ -297,13 +328,15 @@
         if link.stopping.load(Ordering::Acquire) {
             if let Some(lease) = lease.take() {
                 // The lease runs out by itself if this call fails.
-                let _ = bounded(CALL, keyspace.end(lease)).await;
+                let _ = bounded(&link.meters, "end", CALL, keyspace.end(lease)).await;
             }
             return;
         }
         let result = match lease {
-            Some(held) => bounded(CALL, keyspace.renew(held)).await.map(|()| held),
-            None => claim(&*keyspace, &key, &value).await,
+            Some(held) => bounded(&link.meters, "renew", CALL, keyspace.renew(held))
+                .await
+                .map(|()| held),
+            None => claim(&*keyspace, &link.meters, &key, &value).await,
         };
         let wait = match result {
             Ok(held) => {
@@ -332,11 +365,11 @@
     }
 }
 
-async fn claim<K>(keyspace: &K, key: &str, value: &[u8]) -> Result<Lease, Error>
+async fn claim<K>(keyspace: &K, meters: &Meters, key: &str, value: &[u8]) -> Result<Lease, Error>
 where
     K: Keyspace,
 {
-    let lease = bounded(CALL, keyspace.grant(LEASE)).await?;
-    bounded(CALL, keyspace.put(key, value, lease)).await?;
+    let lease = bounded(meters, "grant", CALL, keyspace.grant(LEASE)).await?;
+    bounded(meters, "put", CALL, keyspace.put(key, value, lease)).await?;
     Ok(lease)
 }
--- /dev/null
+++ b/src/process/journal/read.rs
@@ -0,0 +1,158 @@
+//! Reads the log lines of several nodes again: checks them, and tells the story of one request.
+
+use std::fmt::Write as _;
+
+use serde_json::{Map, Value};
+use thiserror::Error;
+
+use super::field;
+
+/// One log line.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Line {
+    /// The node that wrote it.
+    pub node: String,
+    /// Microseconds of the node's wall clock.
+    pub unix_us: u64,
+    /// Microseconds since the start of the node's process.
+    pub at_us: u64,
+    /// What happened.
+    pub event: String,
+    /// All fields.
+    pub fields: Map<String, Value>,
+}
+
+/// Why a line is malformed.
+#[derive(Debug, Error)]
+pub enum Malformed {
+    /// It is not a JSON object, for example because it was cut off.
+    #[error("not a JSON object: {0}")]
+    Syntax(#[from] serde_json::Error),
+    /// It lacks a field that every line has, or the field has another type.
+    #[error("the field {0} is missing or has another type")]
+    Field(&'static str),
+}
+
+impl Line {
+    /// Parses one line.
+    pub fn parse(text: &str) -> Result<Self, Malformed> {
+        let fields: Map<String, Value> = serde_json::from_str(text)?;
+        let number = |name| {
+            let value = fields.get(name).and_then(Value::as_u64);
+            value.ok_or(Malformed::Field(name))
+        };
+        let string = |name| {
+            let value = fields.get(name).and_then(Value::as_str);
+            value.map(str::to_owned).ok_or(Malformed::Field(name))
+        };
+        string(field::LEVEL)?;
+        Ok(Self {
+            node: string(field::NODE)?,
+            unix_us: number(field::UNIX)?,
+            at_us: number(field::AT)?,
+            event: string(field::EVENT)?,
+            fields,
+        })
+    }
+
+    /// Tells whether the line is about a request.
+    pub fn concerns(&self, request: &str) -> bool {
+        let known = self.fields.get(field::REQUEST).and_then(Value::as_str);
+        known == Some(request)
+    }
+
+    /// Returns the line without the fields that every line has, for a person.
+    fn describe(&self) -> String {
+        let mut text = self.event.clone();
+        let usual = [
+            field::AT,
+            field::UNIX,
+            field::NODE,
+            field::LEVEL,
+            field::EVENT,
+            field::REQUEST,
+        ];
+        for (name, value) in &self.fields {
+            if usual.contains(&name.as_str()) {
+                continue;
+            }
+            let value = value
+                .as_str()
+                .map_or_else(|| value.to_string(), str::to_owned);
+            // Writing to a string cannot fail.
+            let _ = write!(text, " {name}={value}");
+        }
+        text
+    }
+}
+
+/// The lines about one request, in the order in which they happened.
+#[derive(Debug, Default)]
+pub struct Story {
+    lines: Vec<Line>,
+}
+
+impl Story {
+    /// Adds a line if it is about the request.
+    pub fn add(&mut self, line: Line, request: &str) {
+        if line.concerns(request) {
+            self.lines.push(line);
+        }
+    }
+
+    /// Returns the lines in order: by the wall clock of the first line of each node, and within a node
+    /// by its monotonic clock, because the wall clock may jump.
+    pub fn into_lines(mut self) -> Vec<Line> {
+        let mut first: Vec<(String, u64, u64)> = Vec::new();
+        for line in &self.lines {
+            match first.iter_mut().find(|(node, _, _)| *node == line.node) {
+                Some((_, at, unix)) if line.at_us < *at => {
+                    (*at, *unix) = (line.at_us, line.unix_us);
+                }
+                Some(_) => {}
+                None => first.push((line.node.clone(), line.at_us, line.unix_us)),
+            }
+        }
+        self.lines.sort_by_key(|line| {
+            let start = first.iter().find(|(node, _, _)| *node == line.node);
+            let (at, unix) = start.map_or((0, 0), |(_, at, unix)| (*at, *unix));
+            unix + (line.at_us - at)
+        });
+        self.lines
+    }
+
+    /// Tells whether no line is about the request.
+    pub fn is_empty(&self) -> bool {
+        self.lines.is_empty()
+    }
+}
+
+/// Writes a story for a person: the time since its first line, the node, and what happened.
+pub fn render(lines: &[Line]) -> String {
+    let mut text = String::new();
+    let mut starts: Vec<(&str, u64)> = Vec::new();
+    let origin = lines.first().map_or(0, |line| line.unix_us);
+    for line in lines {
+        let start = starts.iter().find(|(node, _)| *node == line.node).copied();
+        let zero = start.map_or_else(
+            || {
+                // The clocks of nodes agree only roughly, so each node counts from its own first line.
+                let zero = line
+                    .at_us
+                    .saturating_sub(line.unix_us.saturating_sub(origin));
+                starts.push((&line.node, zero));
+                zero
+            },
+            |(_, zero)| zero,
+        );
+        let millis = line.at_us.saturating_sub(zero) as f64 / 1_000.0;
+        // Writing to a string cannot fail.
+        let _ = writeln!(
+            text,
+            "{millis:>10.3} ms  {}  {}",
+            line.node,
+            line.describe()
+        );
+    }
+    text
+}
--- /dev/null
+++ b/src/process/meters.rs
@@ -0,0 +1,183 @@
+//! Counters and histograms of an entry instance, in the Prometheus text format.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::{Registry, Unit};
+
+use super::journal;
+
+/// What a request or a leg came to, and why.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Ending {
+    /// What it came to.
+    pub outcome: &'static str,
+    /// Why, or an empty text.
+    pub reason: String,
+}
+
+/// Why a leg was sent.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Cause {
+    /// `first`, `hedge` or `retry`.
+    pub cause: &'static str,
+}
+
+/// A call to the platform's store.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Call {
+    /// What was called.
+    pub call: &'static str,
+    /// `ok` or `failed`.
+    pub outcome: &'static str,
+}
+
+/// All meters of a node; clones share the same values.
+#[derive(Debug, Clone)]
+pub struct Meters {
+    registry: Arc<Registry>,
+    /// Requests that ended.
+    pub requests: Family<Ending, Counter>,
+    /// Legs that were sent.
+    pub legs: Family<Cause, Counter>,
+    /// Legs that ended.
+    pub leg_ends: Family<Ending, Counter>,
+    /// Calls to the store.
+    pub store: Family<Call, Counter>,
+    /// Items of the store that could not be read.
+    pub unreadable: Counter,
+    /// Log lines above their rate, or beyond the queue.
+    pub dropped_lines: Gauge,
+    /// The version of the settings in force.
+    pub settings_version: Gauge,
+    /// One while the store answers, else zero.
+    pub store_up: Gauge,
+    /// Targets that take work.
+    pub targets: Gauge,
+    /// Nodes that were heard lately.
+    pub nodes: Gauge,
+    /// Requests that run now.
+    pub running: Gauge,
+    /// The time from a request's arrival to its answer.
+    pub request_time: Histogram,
+    /// The time from sending a leg to its answer.
+    pub leg_time: Histogram,
+    /// The share of the shards in the answers of queries.
+    pub coverage: Histogram,
+}
+
+impl Meters {
+    /// Registers all meters.
+    pub fn open() -> Self {
+        // From 1 ms in steps of a factor of 1.6 to beyond the longest deadline that matters.
+        let times = || Histogram::new(exponential_buckets(0.001, 1.6, 20));
+        let mut meters = Self {
+            registry: Arc::default(),
+            requests: Family::default(),
+            legs: Family::default(),
+            leg_ends: Family::default(),
+            store: Family::default(),
+            unreadable: Counter::default(),
+            dropped_lines: Gauge::default(),
+            settings_version: Gauge::default(),
+            store_up: Gauge::default(),
+            targets: Gauge::default(),
+            nodes: Gauge::default(),
+            running: Gauge::default(),
+            request_time: times(),
+            leg_time: times(),
+            coverage: Histogram::new([0.5, 0.75, 0.8, 0.85, 0.9, 0.95, 0.99, 1.0]),
+        };
+        meters.registry = Arc::new(meters.register());
+        meters
+    }
+
+    fn register(&self) -> Registry {
+        let mut all = Registry::with_prefix("redwinggrade");
+        all.register("requests", "Requests by their end", self.requests.clone());
+        all.register("legs", "Legs sent, by cause", self.legs.clone());
+        all.register("leg_ends", "Legs by their end", self.leg_ends.clone());
+        all.register("store_calls", "Calls to the store", self.store.clone());
+        all.register(
+            "unreadable_items",
+            "Items of the store that could not be read",
+            self.unreadable.clone(),
+        );
+        all.register(
+            "dropped_log_lines",
+            "Log lines above their rate or beyond the queue",
+            self.dropped_lines.clone(),
+        );
+        all.register(
+            "settings_version",
+            "Version of the settings in force",
+            self.settings_version.clone(),
+        );
+        all.register(
+            "store_up",
+            "Whether the store answers",
+            self.store_up.clone(),
+        );
+        all.register("targets", "Targets that take work", self.targets.clone());
+        all.register("nodes", "Other nodes heard lately", self.nodes.clone());
+        all.register(
+            "running_requests",
+            "Requests that run now",
+            self.running.clone(),
+        );
+        all.register_with_unit(
+            "request_time",
+            "Time from a request's arrival to its answer",
+            Unit::Seconds,
+            self.request_time.clone(),
+        );
+        all.register_with_unit(
+            "leg_time",
+            "Time from sending a leg to its answer",
+            Unit::Seconds,
+            self.leg_time.clone(),
+        );
+        all.register(
+            "coverage_ratio",
+            "Share of the shards in the answers of queries",
+            self.coverage.clone(),
+        );
+        all
+    }
+
+    /// Counts a request that ended.
+    pub fn request(&self, outcome: &'static str, reason: String, took: Duration) {
+        self.requests
+            .get_or_create(&Ending { outcome, reason })
+            .inc();
+        self.request_time.observe(took.as_secs_f64());
+    }
+
+    /// Counts a leg that was sent.
+    pub fn leg(&self, cause: &'static str) {
+        self.legs.get_or_create(&Cause { cause }).inc();
+    }
+
+    /// Counts a leg that ended.
+    pub fn leg_end(&self, outcome: &'static str, reason: String, took: Duration) {
+        self.leg_ends
+            .get_or_create(&Ending { outcome, reason })
+            .inc();
+        self.leg_time.observe(took.as_secs_f64());
+    }
+
+    /// Renders all meters in the Prometheus text format; `limited` lines were above their rate.
+    pub fn render(&self, limited: u64) -> String {
+        let dropped = i64::try_from(journal::dropped() + limited).unwrap_or(i64::MAX);
+        self.dropped_lines.set(dropped);
+        let mut text = String::new();
+        encode(&mut text, &self.registry).expect("writing to a string cannot fail");
+        text
+    }
+}
--- a/src/process/placement.rs
+++ b/src/process/placement.rs
@@ -98,6 +98,19 @@
     }
 }
 
+/// What the choice of a target was based on.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Evidence {
+    /// Legs of this node without a result.
+    pub open: u32,
+    /// Its latencies in proportion to what routes expect.
+    pub slowness: f64,
+    /// The part of its legs that failed.
+    pub errors: f64,
+    /// For how long some leg has been overdue.
+    pub stalled: Option<Duration>,
+}
+
 /// How willingly a target is used; better ones come first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Class {
@@ -288,6 +301,17 @@
         }
     }
 
+    /// Returns what the choice of a target was based on.
+    pub fn evidence(&self, key: TargetKey, now: Moment) -> Option<Evidence> {
+        let seen = self.seen.get(key)?;
+        Some(Evidence {
+            open: seen.open,
+            slowness: seen.slowness,
+            errors: seen.errors,
+            stalled: seen.stalled.map(|since| now.since(since)),
+        })
+    }
+
     /// Returns when the first target of a service that is out of use may be tried again.
     pub fn reopens(&self, service: &str, now: Moment) -> Option<Moment> {
         self.registry
--- a/src/request/reply.rs
+++ b/src/request/reply.rs
@@ -114,9 +114,9 @@
     /// The target broke off, or its answer was unusable.
     #[display("lost_answer")]
     LostAnswer,
-    /// The node is stopping.
-    #[display("stopping")]
-    Stopping,
+    /// The target did not answer in time.
+    #[display("timeout")]
+    Timeout,
     /// Too many requests run at this node.
     #[display("overload")]
     Overload,
--- a/standins/src/http.rs
+++ b/standins/src/http.rs
@@ -223,10 +223,10 @@
     let (mut sender, connection) =
         hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
     let driver = tokio::spawn(connection);
-    let mut request = Request::builder()
-        .method(method)
-        .uri(path)
-        .header(hyper::header::HOST, address.to_string());
+    let mut request = Request::builder().method(method).uri(path);
+    if !headers.iter().any(|(name, _)| *name == "host") {
+        request = request.header(hyper::header::HOST, address.to_string());
+    }
     for (name, value) in headers {
         request = request.header(*name, *value);
     }
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod http;
 pub mod members;
+pub mod platform;
 pub mod process;
 pub mod spec;
 pub mod store;
