--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -6,7 +6,7 @@
 mod control;
 mod serve;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -22,13 +22,13 @@
 use super::meters::Meters;
 use super::mirror::{Copy, Mirror};
 use super::placement::Placement;
-use super::roster::{self, Roster};
+use super::roster::Roster;
 use crate::connection::keyspace::Keyspace;
 use crate::connection::outbound::{Call, Pool, Protocol};
 use crate::request::latency::Latency;
 use crate::time::{Clock, Moment};
 use crate::version::change::{Dialect, Node};
-use crate::version::route::{Destination, Kind, Limits, Route, Table};
+use crate::version::route::{Kind, Limits, Route, Table};
 
 /// How long callers may keep an address list. Some keep it three times as long, which a planned stop
 /// waits for.
@@ -235,11 +235,9 @@
     pub fn addresses(&self, data_centre: &str) -> Vec<SocketAddr> {
         let own = self.ready().then_some(&self.shared.config.node);
         let now = self.shared.clock.now();
-        let coverage = self.shared.coverage();
-        let near = roster::near(data_centre, &coverage);
         self.shared
             .roster()
-            .addresses(&near, own, &mut rand::rng(), now)
+            .addresses(data_centre, own, &mut rand::rng(), now)
     }
 
     /// Returns copies of the mirrors, for a node that cannot reach the store.
@@ -285,22 +283,6 @@
             && self.fresh_until.load(Ordering::Acquire) > 0
     }
 
-    /// Returns the data centres by the number of sharded services that have a usable target there.
-    fn coverage(&self) -> BTreeMap<Arc<str>, usize> {
-        let table = self.table.load();
-        let shards: BTreeSet<&str> = table
-            .iter()
-            .flat_map(|table| table.routes())
-            .filter_map(|route| match &route.destination {
-                Destination::All(gather) => Some(&gather.shards),
-                Destination::One(_) => None,
-            })
-            .flatten()
-            .map(|shard| &**shard)
-            .collect();
-        self.placement().registry.coverage(shards)
-    }
-
     /// Tells whether a route that the table lacks may exist in a newer one.
     fn is_uncertain(&self, now: Moment) -> bool {
         now.as_micros() >= self.fresh_until.load(Ordering::Acquire)
--- a/src/process/registry.rs
+++ b/src/process/registry.rs
@@ -4,7 +4,7 @@
 //! a removal during an outage or shortly after it takes effect only if the target does not come back.
 //! See `docs/decisions/008-platform.md`.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -187,25 +187,6 @@
             .filter(|(_, target)| self.takes_work(target))
     }
 
-    /// Returns the data centres by the number of services that have a usable target there.
-    pub fn coverage<'a, S>(&self, services: S) -> BTreeMap<Arc<str>, usize>
-    where
-        S: IntoIterator<Item = &'a str>,
-    {
-        let mut coverage = BTreeMap::new();
-        for service in services {
-            let mut seen: SmallVec<[&Arc<str>; 4]> = SmallVec::new();
-            for (_, target) in self.usable(service) {
-                let data_centre = &target.report.data_centre;
-                if !seen.contains(&data_centre) {
-                    seen.push(data_centre);
-                    *coverage.entry(Arc::clone(data_centre)).or_default() += 1;
-                }
-            }
-        }
-        coverage
-    }
-
     fn takes_work(&self, target: &Target) -> bool {
         target.report.state == State::Ready
             && !target.misplaced
--- a/src/process/roster.rs
+++ b/src/process/roster.rs
@@ -6,7 +6,6 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use rand::Rng;
@@ -129,13 +128,13 @@
             .map(|known| &known.node)
     }
 
-    /// Returns the addresses for a caller; `own` is this node, if it takes callers.
+    /// Returns the addresses for a caller in a data centre; `own` is this node, if it takes callers.
     ///
-    /// Nodes of the data centres in `near` come first. The list is filled up with others if it would be
+    /// Nodes of the caller's data centre are nearest. The list is filled up with others if it would be
     /// too short to survive the loss of a node.
     pub fn addresses<R>(
         &self,
-        near: &[&str],
+        data_centre: &str,
         own: Option<&Node>,
         random: &mut R,
         now: Moment,
@@ -151,30 +150,16 @@
         let mut nodes: Vec<&Node> = others.chain(own).collect();
         nodes.shuffle(random);
         // The sort is stable and keeps the random order among equals.
-        let is_near = |node: &Node| near.contains(&node.data_centre.as_str());
-        nodes.sort_by_key(|node| !is_near(node));
-        let near = nodes.iter().filter(|node| is_near(node)).count();
+        nodes.sort_by_key(|node| node.data_centre != data_centre);
+        let near = nodes
+            .iter()
+            .filter(|node| node.data_centre == data_centre)
+            .count();
         nodes.truncate(near.clamp(ADDRESSES_MIN, ADDRESSES_MAX));
         nodes.iter().map(|node| node.caller).collect()
     }
 }
 
-/// Returns the data centres whose nodes serve a caller best, given the number of services with a target
-/// in each of them.
-///
-/// Usually it is the caller's own. If that one lacks most targets, each leg of a node there crosses to
-/// another data centre and back; it is as quick, and costs a twentieth of the bytes, if the caller's
-/// request makes that way once.
-pub fn near<'a>(data_centre: &'a str, coverage: &'a BTreeMap<Arc<str>, usize>) -> Vec<&'a str> {
-    let most = coverage.values().copied().max().unwrap_or_default();
-    let own = coverage.get(data_centre).copied().unwrap_or_default();
-    if own * 2 >= most {
-        return vec![data_centre];
-    }
-    let served = coverage.iter().filter(|(_, count)| **count * 2 >= most);
-    served.map(|(name, _)| &**name).collect()
-}
-
 fn is_alive(known: &Known, now: Moment) -> bool {
     known.heard.is_some_and(|heard| now.since(heard) < SILENCE)
 }
