Let the four strongest nodes of a data centre serve callers, and read the store cheaply

Change: each node elects the strongest four per data centre from what it hears; only these send pulses to everyone and stand in the address lists, and others stand in for silent ones; first listings may be old, watches wait for 20 s.

--- a/src/connection/keyspace.rs
+++ b/src/connection/keyspace.rs
@@ -56,6 +56,15 @@
     },
 }
 
+/// How old a listing may be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Age {
+    /// Some seconds; such a listing is cheap.
+    Any,
+    /// It contains every change that was acknowledged before the call.
+    Newest,
+}
+
 /// A part of a listing.
 #[derive(Debug, Clone)]
 pub struct Page {
@@ -100,6 +109,7 @@
         &self,
         prefix: &str,
         after: Option<&str>,
+        age: Age,
     ) -> impl Future<Output = Result<Page, Error>> + Send;
 
     /// Waits for changes under `prefix` after a revision, for `wait` at most.
--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -8,7 +8,7 @@
 
 use super::{Shared, pulse_of};
 use crate::connection::exchange;
-use crate::connection::keyspace::{Keyspace, Revision};
+use crate::connection::keyspace::{Age, Keyspace, Revision};
 use crate::connection::outbound::Protocol;
 use crate::process::follow::{Follow, Notice};
 use crate::process::mirror::{Change, Copy};
@@ -144,7 +144,7 @@
             Message::Tick => state.tick(&myself),
             Message::Leave => {
                 state.follow.leave();
-                state.pulse();
+                state.pulse(0);
             }
         }
         Ok(())
@@ -162,10 +162,13 @@
                 prefix,
                 items,
                 revision,
+                age,
             } => {
                 let changes = self.mirror(prefix, |mirror| mirror.replace(items, revision));
                 self.apply(changes, now);
-                self.shared.refresh(now + FRESH);
+                if age == Age::Newest {
+                    self.shared.refresh(now + FRESH);
+                }
             }
             Notice::Changed {
                 prefix,
@@ -255,7 +258,6 @@
                 if *name != *self.shared.config.node.name =>
             {
                 self.shared.roster().list(node, now);
-                self.share();
             }
             (Subject::Target(name), meaning) => {
                 self.shared.meters.unreadable.inc();
@@ -309,9 +311,9 @@
 
     /// Tells the bounds which nodes share them.
     fn share(&self) {
-        let mut names: Vec<String> = self.shared.roster().names().map(str::to_owned).collect();
-        names.push(self.shared.config.node.name.clone());
         let now = self.shared.clock.now();
+        let mut names: Vec<String> = self.shared.roster().names(now).map(str::to_owned).collect();
+        names.push(self.shared.config.node.name.clone());
         let settled = now.since(Moment::ZERO) >= SETTLED;
         self.shared.placement().share(&names, settled);
     }
@@ -328,7 +330,6 @@
             self.shared.refresh(now + FRESH);
         }
         self.shared.roster().hear(pulse, now);
-        self.share();
     }
 
     /// Tells whether a peer with the same state proves it fresh: it is ready only while it is.
@@ -343,7 +344,7 @@
         latest.max().unwrap_or_default()
     }
 
-    fn pulse(&self) {
+    fn pulse(&self, round: u32) {
         let now = self.shared.clock.now();
         let pulse = Pulse {
             node: self.shared.config.node.clone(),
@@ -352,7 +353,8 @@
             revision: self.latest(),
         };
         let own = self.shared.config.node.pulse;
-        let known: Vec<_> = self.shared.roster().pulses().collect();
+        let roster = self.shared.roster();
+        let known: Vec<_> = roster.pulses(round).collect();
         let seeds = self
             .shared
             .config
@@ -360,7 +362,7 @@
             .iter()
             .map(|seed| pulse_of(seed.ip(), own))
             .filter(|seed| {
-                self.rounds.is_multiple_of(SEED_ROUNDS) && *seed != own && !known.contains(seed)
+                self.rounds.is_multiple_of(SEED_ROUNDS) && *seed != own && !roster.knows(*seed)
             });
         self.socket.send(&pulse, known.iter().copied().chain(seeds));
     }
@@ -368,7 +370,10 @@
     fn tick(&mut self, myself: &ActorRef<Message>) {
         let now = self.shared.clock.now();
         self.rounds = self.rounds.wrapping_add(1);
-        self.pulse();
+        let node = &self.shared.config.node;
+        self.shared.roster().elect(node, now);
+        self.share();
+        self.pulse(self.rounds);
         self.shared.roster().expire(now);
         self.shared.pool.expire(now);
         let effects = self.shared.placement().registry.expire(now);
--- a/src/process/follow.rs
+++ b/src/process/follow.rs
@@ -15,11 +15,11 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use super::meters::{Call, Meters};
-use crate::connection::keyspace::{Batch, Error, Event, Item, Keyspace, Lease, Revision};
+use crate::connection::keyspace::{Age, Batch, Error, Event, Item, Keyspace, Lease, Revision};
 
-/// The longest wait of one watch. A connection that died in silence is noticed after this time at the
-/// latest; longer waits save calls that cost a thousandth of a node each.
-pub const WATCH: Duration = Duration::from_secs(8);
+/// The longest wait of one watch. A connection that died in silence is noticed sooner: by the lease's
+/// renewals, or by other nodes that know of changes.
+pub const WATCH: Duration = Duration::from_secs(20);
 /// How much longer than its wait a watch may take.
 pub const WATCH_MARGIN: Duration = Duration::from_millis(1_500);
 /// The pause after a watch that brought changes.
@@ -27,6 +27,10 @@
 /// The longest pause in a series of changes, such as a start of all targets: each call is counted, and
 /// a change may take seconds to be in force.
 pub const GATHER_MAX: Duration = Duration::from_millis(400);
+/// The longest pause in the first [`START`] of a process, when all nodes and targets may register.
+pub const GATHER_START: Duration = Duration::from_millis(1_200);
+/// How long a process counts as just started; callers come ten seconds after the nodes.
+pub const START: Duration = Duration::from_secs(8);
 /// The time without changes after which a series is over.
 pub const SERIES: Duration = Duration::from_secs(1);
 /// The lifetime of the lease under which a node publishes itself.
@@ -54,6 +58,8 @@
         items: Vec<Item>,
         /// The revision.
         revision: Revision,
+        /// How old the listing may be.
+        age: Age,
     },
     /// Changes under a prefix.
     Changed {
@@ -212,9 +218,12 @@
     K: Keyspace,
     F: Fn(Notice) + Send + Sync,
 {
+    let started = Instant::now();
+    // Reads that may be old are cheap, and the watch brings what they lack.
+    let mut age = Age::Any;
     loop {
         let (items, mut after) = loop {
-            match list(&*keyspace, &link.meters, prefix).await {
+            match list(&*keyspace, &link.meters, prefix, age).await {
                 Ok(listed) => break listed,
                 Err(cause) => {
                     link.fail(&cause, &notify);
@@ -227,15 +236,21 @@
             prefix,
             items,
             revision: after,
+            age,
         });
+        // After an old listing, a watch that does not wait brings what has changed since.
+        let mut wait = match age {
+            Age::Any => Duration::ZERO,
+            Age::Newest => WATCH,
+        };
         let mut pause = GATHER_MIN;
         loop {
             let start = Instant::now();
             let watch = bounded(
                 &link.meters,
                 "watch",
-                WATCH + WATCH_MARGIN,
-                keyspace.watch(prefix, after, WATCH),
+                wait + WATCH_MARGIN,
+                keyspace.watch(prefix, after, wait),
             );
             let batch = tokio::select! {
                 batch = watch => batch,
@@ -248,6 +263,7 @@
                 Ok(Batch { events, revision }) => {
                     link.succeed(&notify);
                     after = after.max(revision);
+                    wait = WATCH;
                     let some = !events.is_empty();
                     notify(Notice::Changed {
                         prefix,
@@ -259,11 +275,17 @@
                     }
                     if some {
                         sleep(pause).await;
-                        pause = (pause * 2).min(GATHER_MAX);
+                        let most = if started.elapsed() < START {
+                            GATHER_START
+                        } else {
+                            GATHER_MAX
+                        };
+                        pause = (pause * 2).min(most);
                     }
                 }
                 Err(Error::Compacted) => {
                     link.succeed(&notify);
+                    age = Age::Newest;
                     break;
                 }
                 Err(cause) => {
@@ -291,6 +313,7 @@
     keyspace: &K,
     meters: &Meters,
     prefix: &str,
+    age: Age,
 ) -> Result<(Vec<Item>, Revision), Error>
 where
     K: Keyspace,
@@ -303,7 +326,7 @@
             meters,
             "list",
             CALL,
-            keyspace.list(prefix, after.as_deref()),
+            keyspace.list(prefix, after.as_deref(), age),
         )
         .await?;
         // Pages are no snapshot; the watch from the first one's revision repeats what changed since.
--- a/src/process/roster.rs
+++ b/src/process/roster.rs
@@ -21,6 +21,11 @@
 /// A node that was not heard for this time leaves the address lists; three pulses in a row are lost
 /// rarely.
 pub const SILENCE: Duration = Duration::from_secs(1);
+/// Nodes of one data centre that serve callers. More of them would hold more connections to each target
+/// and know less of each, and every node hears the pulses of all of them.
+pub const FRONT: usize = 4;
+/// Rounds of pulses after which a node that does not serve callers sends one.
+pub const REST_ROUNDS: u32 = 10;
 /// How long a node that is neither listed nor heard is remembered and sent pulses.
 pub const FORGET: Duration = Duration::from_secs(15);
 /// The longest address list that callers use.
@@ -50,12 +55,27 @@
     heard: Option<Moment>,
     /// The last sign of any kind.
     seen: Moment,
+    /// Since when it has been expected to serve callers, and so to send pulses to everyone.
+    front: Option<Moment>,
+}
+
+impl Known {
+    /// Tells whether the node was heard lately, or has not had time to be heard.
+    fn may_serve(&self, now: Moment) -> bool {
+        let Some(front) = self.front else {
+            return false;
+        };
+        let last = self.heard.map_or(front, |heard| heard.max(front));
+        now.since(last) < SILENCE && (self.ready || self.heard.is_none_or(|heard| heard < front))
+    }
 }
 
 /// All other nodes, by name.
 #[derive(Debug, Default)]
 pub struct Roster {
     nodes: BTreeMap<String, Known>,
+    /// Whether this node is one of those that serve callers.
+    front: bool,
 }
 
 impl Roster {
@@ -75,6 +95,7 @@
             ready: false,
             heard: None,
             seen: now,
+            front: None,
             node,
         };
         self.nodes.insert(known.node.name.clone(), known);
@@ -90,12 +111,10 @@
 
     /// Takes a pulse.
     pub fn hear(&mut self, pulse: Pulse, now: Moment) {
-        let listed = self
-            .nodes
-            .get(&pulse.node.name)
-            .is_some_and(|known| known.listed);
+        let before = self.nodes.get(&pulse.node.name);
         let known = Known {
-            listed,
+            listed: before.is_some_and(|known| known.listed),
+            front: before.and_then(|known| known.front),
             ready: pulse.ready,
             heard: Some(now),
             seen: now,
@@ -110,14 +129,60 @@
             .retain(|_, known| known.listed || now.since(known.seen) < FORGET);
     }
 
-    /// Returns the nodes that share the bounds, without this one.
-    pub fn names(&self) -> impl Iterator<Item = &str> {
-        self.nodes.keys().map(String::as_str)
+    /// Decides which nodes serve callers: the [`FRONT`] strongest of each data centre that live.
+    ///
+    /// Every node decides for itself from what it hears. A node that stands in for a silent one begins
+    /// to send pulses to everyone, and is in the lists as soon as it is heard.
+    pub fn elect(&mut self, own: &Node, now: Moment) {
+        let mut order: Vec<(String, u32, String)> = self
+            .nodes
+            .values()
+            .map(|known| &known.node)
+            .chain([own])
+            .map(|node| (node.data_centre.clone(), node.millicores, node.name.clone()))
+            .collect();
+        order.sort_by(|a, b| a.0.cmp(&b.0).then(b.1.cmp(&a.1)).then(a.2.cmp(&b.2)));
+        let (mut data_centre, mut serving) = (String::new(), 0);
+        for (place, _, name) in order {
+            if place != data_centre {
+                (data_centre, serving) = (place, 0);
+            }
+            let front = serving < FRONT;
+            match self.nodes.get_mut(&name) {
+                Some(known) if front => {
+                    known.front.get_or_insert(now);
+                    serving += usize::from(known.may_serve(now));
+                }
+                Some(known) => known.front = None,
+                None => {
+                    self.front = front;
+                    serving += usize::from(front);
+                }
+            }
+        }
+    }
+
+    /// Returns the nodes that share the bounds, without this one: those that serve callers.
+    pub fn names(&self, now: Moment) -> impl Iterator<Item = &str> {
+        self.nodes
+            .iter()
+            .filter(move |(_, known)| known.may_serve(now))
+            .map(|(name, _)| name.as_str())
     }
 
-    /// Returns where pulses go.
-    pub fn pulses(&self) -> impl Iterator<Item = SocketAddr> {
-        self.nodes.values().map(|known| known.node.pulse)
+    /// Returns where pulses go in a round: to everyone if this node serves callers, else now and then
+    /// to those that do.
+    pub fn pulses(&self, round: u32) -> impl Iterator<Item = SocketAddr> {
+        let rest = round.is_multiple_of(REST_ROUNDS);
+        self.nodes
+            .values()
+            .filter(move |known| self.front || (rest && known.front.is_some()))
+            .map(|known| known.node.pulse)
+    }
+
+    /// Tells whether a node is known.
+    pub fn knows(&self, pulse: SocketAddr) -> bool {
+        self.nodes.values().any(|known| known.node.pulse == pulse)
     }
 
     /// Returns the nodes that were heard lately.
@@ -145,9 +210,13 @@
         let others = self
             .nodes
             .values()
-            .filter(|known| known.ready && is_alive(known, now))
+            .filter(|known| known.ready && known.front.is_some() && is_alive(known, now))
             .map(|known| &known.node);
-        let mut nodes: Vec<&Node> = others.chain(own).collect();
+        let mut nodes: Vec<&Node> = others.chain(own.filter(|_| self.front)).collect();
+        if nodes.is_empty() {
+            // A node that hears nobody still serves those who ask it.
+            nodes.extend(own);
+        }
         nodes.shuffle(random);
         // The sort is stable and keeps the random order among equals.
         nodes.sort_by_key(|node| node.data_centre != data_centre);
--- a/src/version/change.rs
+++ b/src/version/change.rs
@@ -85,6 +85,8 @@
     pub peer: SocketAddr,
     /// The address for other nodes' datagrams.
     pub pulse: SocketAddr,
+    /// The processor that the instance has, in thousandths of a core.
+    pub millicores: u32,
 }
 
 /// Reads and writes the items of the platform's store.
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -8,7 +8,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
 use redwinggrade::connection::keyspace::Revision;
-use redwinggrade::process::roster::{FORGET, PULSE, Pulse, Roster, SILENCE};
+use redwinggrade::process::roster::{FORGET, PULSE, Pulse, REST_ROUNDS, Roster, SILENCE};
 use redwinggrade::time::Moment;
 use redwinggrade::version::change::Node;
 use redwinggrade::wire::Incarnation;
@@ -21,6 +21,7 @@
         caller: SocketAddr::from(([10, 0, 0, number], 80)),
         peer: SocketAddr::from(([10, 0, 0, number], 81)),
         pulse: SocketAddr::from(([10, 0, 0, number], 82)),
+        millicores: 250,
     }
 }
 
@@ -33,13 +34,19 @@
     }
 }
 
-fn addresses(roster: &Roster, own: Option<&Node>, now: Moment) -> Vec<SocketAddr> {
+fn addresses(roster: &mut Roster, own: Option<&Node>, now: Moment) -> Vec<SocketAddr> {
     let mut random = Pcg32::seed_from_u64(3);
+    let elsewhere = node(99, "elsewhere");
+    roster.elect(own.unwrap_or(&elsewhere), now);
     let mut addresses = roster.addresses(HOME, own, &mut random, now);
     addresses.sort();
     addresses
 }
 
+fn known(roster: &Roster) -> usize {
+    usize::from(roster.knows(node(2, HOME).pulse))
+}
+
 fn callers(numbers: &[u8]) -> Vec<SocketAddr> {
     numbers.iter().map(|&n| node(n, HOME).caller).collect()
 }
@@ -51,7 +58,7 @@
     roster.list(node(2, HOME), at(0));
     roster.hear(pulse(2, HOME), at(10));
     roster.hear(pulse(3, HOME), at(10));
-    assert_eq!(addresses(&roster, None, at(20)), callers(&[2, 3]));
+    assert_eq!(addresses(&mut roster, None, at(20)), callers(&[2, 3]));
 }
 
 #[test]
@@ -60,10 +67,10 @@
     roster.list(node(2, HOME), at(0));
     roster.hear(pulse(2, HOME), at(0));
     assert_eq!(
-        addresses(&roster, None, at(0) + SILENCE - ms(1)),
+        addresses(&mut roster, None, at(0) + SILENCE - ms(1)),
         callers(&[2])
     );
-    assert!(addresses(&roster, None, at(0) + SILENCE).is_empty());
+    assert!(addresses(&mut roster, None, at(0) + SILENCE).is_empty());
 }
 
 #[test]
@@ -75,7 +82,7 @@
     while now < at(100) + FORGET * 2 {
         roster.hear(pulse(2, HOME), now);
         roster.expire(now);
-        assert_eq!(addresses(&roster, None, now), callers(&[2]));
+        assert_eq!(addresses(&mut roster, None, now), callers(&[2]));
         now = now + PULSE;
     }
 }
@@ -91,7 +98,7 @@
         },
         at(1),
     );
-    assert!(addresses(&roster, None, at(2)).is_empty());
+    assert!(addresses(&mut roster, None, at(2)).is_empty());
 }
 
 #[test]
@@ -101,8 +108,8 @@
         roster.hear(pulse(number, data_centre), at(0));
     }
     let own = node(1, HOME);
-    assert_eq!(addresses(&roster, Some(&own), at(1)), callers(&[1, 2]));
-    let filled = addresses(&roster, None, at(1));
+    assert_eq!(addresses(&mut roster, Some(&own), at(1)), callers(&[1, 2]));
+    let filled = addresses(&mut roster, None, at(1));
     assert_eq!(filled.len(), 2);
     assert!(filled.contains(&node(2, HOME).caller));
 }
@@ -112,7 +119,74 @@
     let mut roster = Roster::default();
     roster.hear(pulse(2, HOME), at(0));
     roster.expire(at(0) + FORGET - ms(1));
-    assert_eq!(roster.names().count(), 1);
+    assert_eq!(known(&roster), 1);
     roster.expire(at(0) + FORGET);
-    assert_eq!(roster.names().count(), 0);
+    assert_eq!(known(&roster), 0);
+}
+
+/// Lets `elections` pass, in each of which the nodes in `living` are heard.
+fn pass(roster: &mut Roster, own: &Node, living: &[Node], from: Moment, elections: u32) -> Moment {
+    let mut now = from;
+    for _ in 0..elections {
+        for node in living {
+            let pulse = Pulse {
+                node: node.clone(),
+                ..pulse(1, HOME)
+            };
+            roster.hear(pulse, now);
+        }
+        roster.elect(own, now);
+        now = now + PULSE;
+    }
+    now
+}
+
+fn strong(number: u8, millicores: u32) -> Node {
+    Node {
+        millicores,
+        ..node(number, HOME)
+    }
+}
+
+#[test]
+fn the_strongest_nodes_serve_callers_and_others_stand_in_for_silent_ones() {
+    let mut roster = Roster::default();
+    let own = node(99, "elsewhere");
+    let nodes: Vec<Node> = (1..=8).map(|n| strong(n, 100 * u32::from(n))).collect();
+    for node in &nodes {
+        roster.list(node.clone(), at(0));
+    }
+    let now = pass(&mut roster, &own, &nodes[4..], at(0), 10);
+    assert_eq!(
+        addresses(&mut roster, None, now - PULSE),
+        callers(&[5, 6, 7, 8])
+    );
+    // The strongest two fall silent; the next two are expected to speak, and do.
+    let now = pass(&mut roster, &own, &nodes[2..6], now, 10);
+    assert_eq!(
+        addresses(&mut roster, None, now - PULSE),
+        callers(&[3, 4, 5, 6])
+    );
+    // They come back.
+    let now = pass(&mut roster, &own, &nodes[2..], now, 10);
+    assert_eq!(
+        addresses(&mut roster, None, now - PULSE),
+        callers(&[5, 6, 7, 8])
+    );
+}
+
+#[test]
+fn a_node_speaks_to_everyone_only_while_it_serves_callers() {
+    let mut roster = Roster::default();
+    let own = strong(9, 100);
+    let nodes: Vec<Node> = (1..=4).map(|n| strong(n, 500)).collect();
+    let now = pass(&mut roster, &own, &nodes, at(0), 10);
+    assert_eq!(roster.pulses(1).count(), 0);
+    assert_eq!(roster.pulses(REST_ROUNDS).count(), 4);
+    pass(&mut roster, &own, &nodes[1..], now, 10);
+    assert_eq!(
+        roster.pulses(1).count(),
+        4,
+        "it stands in for a silent node"
+    );
 }
