Admit queries by the median time of their legs

Ruled out: a limit on concurrency (a node runs one or two queries at a time), sheds as the sign (a grey target sheds without load). Change: request::admission lowers the rate of new queries while the median leg takes twice its usual time, and refuses the rest at once; no hedges meanwhile. First try: medians of single queries took the luckiest for the usual one and refused half of normal traffic; the test that plays usual traffic failed.

--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -25,10 +25,11 @@
 use super::roster::Roster;
 use crate::connection::keyspace::Keyspace;
 use crate::connection::outbound::{Call, Pool, Protocol};
+use crate::request::admission::Admission;
 use crate::request::latency::Latency;
 use crate::time::{Clock, Moment};
 use crate::version::change::{Dialect, Node};
-use crate::version::route::{Kind, Limits, Route, Table};
+use crate::version::route::{Destination, Kind, Limits, Route, Table};
 
 /// How long callers may keep an address list. Some keep it three times as long, which a planned stop
 /// waits for.
@@ -101,6 +102,8 @@
     roster: Mutex<Roster>,
     mirrors: Mutex<Vec<Mirror>>,
     estimates: Mutex<HashMap<Arc<str>, Estimate>>,
+    /// The admission of queries, by the first of their shards.
+    admissions: Mutex<HashMap<Arc<str>, Admission>>,
     /// Until when the table is known to be the newest one, in microseconds of the clock.
     fresh_until: AtomicU64,
     stopping: AtomicBool,
@@ -127,6 +130,9 @@
 #[derive(Debug)]
 struct Estimate {
     mean: Duration,
+    /// The mean of the first legs, which relates the routes of a destination to each other.
+    usual: Duration,
+    learned: u32,
     high: Latency,
 }
 
@@ -138,6 +144,8 @@
     const SINGLE_ABOVE: u16 = 20;
     /// The weight of one latency in the mean, as one in this number.
     const WEIGHT: u32 = 32;
+    /// Legs from which the usual time is learned.
+    const LEARNED: u32 = 200;
     /// The shortest time after which a leg is hedged.
     const HEDGE_MIN: Duration = Duration::from_millis(8);
 
@@ -149,12 +157,18 @@
         };
         Self {
             mean: route.objective / 6,
+            usual: route.objective / 6,
+            learned: 0,
             high: Latency::above(above),
         }
     }
 
     fn record(&mut self, took: Duration) {
         self.mean = (self.mean * (Self::WEIGHT - 1) + took) / Self::WEIGHT;
+        if self.learned < Self::LEARNED {
+            self.learned += 1;
+            self.usual = self.mean;
+        }
         self.high.record(took);
     }
 
@@ -199,6 +213,7 @@
             roster: Mutex::default(),
             mirrors: Mutex::new(mirrors.collect()),
             estimates: Mutex::default(),
+            admissions: Mutex::default(),
             fresh_until: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
             running: AtomicUsize::new(0),
@@ -322,14 +337,55 @@
         (estimate.mean, hedge)
     }
 
-    fn record(&self, route: &str, took: Duration) {
+    /// Records how long a leg of the route took.
+    fn record(&self, route: &Route, took: Duration, now: Moment) {
         let mut estimates = self
             .estimates
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
-        if let Some(estimate) = estimates.get_mut(route) {
-            estimate.record(took);
+        let Some(estimate) = estimates.get_mut(&route.name) else {
+            return;
+        };
+        estimate.record(took);
+        let usual = estimate.usual;
+        drop(estimates);
+        if let Destination::All(gather) = &route.destination
+            && let Some(first) = gather.shards.first()
+        {
+            let ratio = took.as_secs_f64() / usual.as_secs_f64().max(0.001);
+            self.admission(first, now, |admission| admission.record(ratio, now));
+        }
+    }
+
+    /// Asks to begin a request; tells whether it may, and whether its destination is overloaded.
+    fn admit(&self, route: &Route, now: Moment) -> (bool, bool) {
+        match &route.destination {
+            Destination::One(_) => (true, false),
+            Destination::All(gather) => gather.shards.first().map_or((true, false), |first| {
+                self.admission(first, now, |admission| {
+                    (admission.begin(now), admission.is_limited())
+                })
+            }),
+        }
+    }
+
+    fn admission<F, T>(&self, first: &Arc<str>, now: Moment, act: F) -> T
+    where
+        F: FnOnce(&mut Admission) -> T,
+    {
+        /// Destinations that are remembered; older versions' shards are forgotten together.
+        const DESTINATIONS_MAX: usize = 64;
+        let mut admissions = self
+            .admissions
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if admissions.len() >= DESTINATIONS_MAX {
+            admissions.clear();
         }
+        let admission = admissions
+            .entry(Arc::clone(first))
+            .or_insert_with(|| Admission::open(now));
+        act(admission)
     }
 }
 
--- a/src/process/entry/serve.rs
+++ b/src/process/entry/serve.rs
@@ -1,5 +1,6 @@
 //! Serving one request: its fan-out, tied to the connections and the clock.
 
+use std::ops::Range;
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -31,6 +32,10 @@
 /// When a caller should come back to a node that has no settings yet: most callers come back once, and a
 /// node that has just started without the store needs the store's return.
 const RETRY_AFTER_SETTINGS: Duration = Duration::from_millis(800);
+/// When callers should come back to targets that have too much to do: spread out, so that they do not
+/// come back together, and within the third of a deadline for which most of them wait.
+const RETRY_AFTER_OVERLOAD: Range<Duration> =
+    Duration::from_millis(150)..Duration::from_millis(600);
 /// When a caller should come back to a node that has too much to do, or is not sure of a route.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -73,8 +78,19 @@
         let route = Arc::clone(route);
         report.version = table.number.0;
         report.route = Some(Arc::clone(&route));
+        let (admitted, overloaded) = shared.admit(&route, now);
+        if !admitted {
+            return Verdict::Refused {
+                reason: Reason::Overload,
+                retry_after: rand::rng().random_range(RETRY_AFTER_OVERLOAD),
+            };
+        }
         let services = services(&route);
-        let (expected, hedge) = shared.expect(&route, services.len());
+        let (expected, mut hedge) = shared.expect(&route, services.len());
+        if overloaded {
+            // Targets that have too much to do already must not get a leg twice.
+            hedge = route.timeout;
+        }
         let patience = arrival
             .patience
             .map_or(route.timeout, |it| it.saturating_sub(WAY_BACK));
@@ -222,7 +238,7 @@
             shared.placement().registry.cool(self.target, cold, now);
         }
         if matches!(heard.outcome, Outcome::Done(_)) {
-            shared.record(&self.route.name, took);
+            shared.record(&self.route, took, now);
         }
         drop(open);
         self.log_ended(&call, &peer, &heard.outcome, took, now);
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -3,6 +3,7 @@
 //! The decisions are pure state machines: they use no clock, socket, sleep or global random number
 //! generator. See `docs/design.md`, section 6.
 
+pub mod admission;
 pub mod answer;
 pub mod ask;
 pub mod choice;
