--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -357,13 +357,14 @@
         }
     }
 
-    /// Asks to begin a request; tells whether it may, and whether its destination is overloaded.
+    /// Asks to begin a request; tells whether it may, and whether its destination has no room
+    /// for extra legs.
     fn admit(&self, route: &Route, now: Moment) -> (bool, bool) {
         match &route.destination {
             Destination::One(_) => (true, false),
             Destination::All(gather) => gather.shards.first().map_or((true, false), |first| {
                 self.admission(first, now, |admission| {
-                    (admission.begin(now), admission.is_limited())
+                    (admission.begin(now), admission.is_strained())
                 })
             }),
         }
--- a/src/process/entry/serve.rs
+++ b/src/process/entry/serve.rs
@@ -78,7 +78,7 @@
         let route = Arc::clone(route);
         report.version = table.number.0;
         report.route = Some(Arc::clone(&route));
-        let (admitted, overloaded) = shared.admit(&route, now);
+        let (admitted, strained) = shared.admit(&route, now);
         if !admitted {
             return Verdict::Refused {
                 reason: Reason::Overload,
@@ -87,7 +87,7 @@
         }
         let services = services(&route);
         let (expected, mut hedge) = shared.expect(&route, services.len());
-        if overloaded {
+        if strained {
             // Targets that have too much to do already must not get a leg twice.
             hedge = route.timeout;
         }
--- a/src/request/admission.rs
+++ b/src/request/admission.rs
@@ -19,7 +19,9 @@
 const LEGS_MIN: usize = 120;
 /// A median above this multiple of the usual one means overload. At two thirds of the capacity the mean
 /// wait of a target with two slots equals its work.
-const OVERLOAD: f64 = 2.0;
+const OVERLOAD: f64 = 1.7;
+/// A median above this multiple means that there is no room for legs beyond the first.
+const STRAIN: f64 = 1.4;
 /// The rate is lowered to this part of what was begun in an overloaded window.
 const DECREASE: f64 = 0.8;
 /// The rate grows by this factor in each other window, so by half in a second.
@@ -47,6 +49,7 @@
     /// Leg times in proportion to what their routes expect when nothing waits.
     times: Vec<f32>,
     usual: Option<f64>,
+    strained: bool,
 }
 
 impl Admission {
@@ -61,6 +64,7 @@
             begun: 0,
             times: Vec::new(),
             usual: None,
+            strained: false,
         }
     }
 
@@ -69,6 +73,11 @@
         self.rate.is_some()
     }
 
+    /// Tells whether the targets still have more to do than usual.
+    pub const fn is_strained(&self) -> bool {
+        self.strained
+    }
+
     /// Returns the queries a second that may begin, if they are limited.
     pub const fn rate(&self) -> Option<f64> {
         self.rate
@@ -128,6 +137,7 @@
         } else {
             usual + (median - usual).min(usual) * RISE
         });
+        self.strained = median > usual * STRAIN;
         if median > usual * OVERLOAD {
             let begun = f64::from(self.begun) / length.as_secs_f64();
             let limit = self.rate.map_or(begun, |rate| rate.min(begun));
