--- a/src/request/admission.rs
+++ b/src/request/admission.rs
@@ -19,9 +19,9 @@
 const LEGS_MIN: usize = 120;
 /// A median above this multiple of the usual one means overload. At two thirds of the capacity the mean
 /// wait of a target with two slots equals its work.
-const OVERLOAD: f64 = 1.7;
+const OVERLOAD: f64 = 2.0;
 /// A median above this multiple means that there is no room for legs beyond the first.
-const STRAIN: f64 = 1.4;
+const STRAIN: f64 = 1.6;
 /// The rate is lowered to this part of what was begun in an overloaded window.
 const DECREASE: f64 = 0.8;
 /// The rate grows by this factor in each other window, so by half in a second.
