--- a/src/request/admission.rs
+++ b/src/request/admission.rs
@@ -50,6 +50,8 @@
     times: Vec<f32>,
     usual: Option<f64>,
     strained: bool,
+    /// Whether the last window was overloaded.
+    overloaded: bool,
 }
 
 impl Admission {
@@ -65,6 +67,7 @@
             times: Vec::new(),
             usual: None,
             strained: false,
+            overloaded: false,
         }
     }
 
@@ -137,8 +140,11 @@
         } else {
             usual + (median - usual).min(usual) * RISE
         });
-        self.strained = median > usual * STRAIN;
-        if median > usual * OVERLOAD {
+        let overloaded = median > usual * OVERLOAD;
+        let before = std::mem::replace(&mut self.overloaded, overloaded);
+        self.strained = self.rate.is_some() && median > usual * STRAIN;
+        // A reshard or a pause of this node fills one window with slow legs.
+        if overloaded && (before || self.rate.is_some()) {
             let begun = f64::from(self.begun) / length.as_secs_f64();
             let limit = self.rate.map_or(begun, |rate| rate.min(begun));
             if self.rate.is_none() {
