--- a/src/process/budget.rs
+++ b/src/process/budget.rs
@@ -41,6 +41,11 @@
         }
     }
 
+    /// Sets the bound.
+    pub const fn set_bound(&mut self, bound: Bound) {
+        self.bound = bound;
+    }
+
     /// Sets the number of nodes that share the bound.
     pub fn share(&mut self, nodes: usize) {
         self.nodes = nodes.max(1);
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -106,6 +106,8 @@
     admissions: Mutex<HashMap<Arc<str>, Admission>>,
     /// Until when the table is known to be the newest one, in microseconds of the clock.
     fresh_until: AtomicU64,
+    /// How long a planned stop may take, in microseconds.
+    grace: AtomicU64,
     stopping: AtomicBool,
     running: AtomicUsize,
     meters: Meters,
@@ -215,6 +217,7 @@
             estimates: Mutex::default(),
             admissions: Mutex::default(),
             fresh_until: AtomicU64::new(0),
+            grace: AtomicU64::new(u64::try_from(config.grace.as_micros()).unwrap_or(u64::MAX)),
             stopping: AtomicBool::new(false),
             running: AtomicUsize::new(0),
             meters: Meters::open(),
@@ -268,13 +271,21 @@
         self.shared.meters.render(limited)
     }
 
+    /// Applies changed settings.
+    pub fn reconfigure(&self, bound: Bound, grace: Duration) {
+        self.shared.placement().budget.set_bound(bound);
+        let micros = u64::try_from(grace.as_micros()).unwrap_or(u64::MAX);
+        self.shared.grace.store(micros, Ordering::Release);
+    }
+
     /// Stops as planned: leaves the address lists, serves for as long as callers keep them, and
     /// finishes what runs.
     pub async fn stop(&self) {
         self.shared.stopping.store(true, Ordering::Release);
         let start = self.shared.clock.now();
         self.tell(control::Message::Leave);
-        let end = start + self.shared.config.grace.saturating_sub(EXIT_MARGIN);
+        let grace = Duration::from_micros(self.shared.grace.load(Ordering::Acquire));
+        let end = start + grace.saturating_sub(EXIT_MARGIN);
         loop {
             tokio::time::sleep(Duration::from_millis(50)).await;
             let now = self.shared.clock.now();
--- a/src/request/reply.rs
+++ b/src/request/reply.rs
@@ -131,6 +131,9 @@
     /// The request lacks a header that it must have, or has a malformed one.
     #[display("bad_request")]
     BadRequest,
+    /// The body did not come in time; nothing was sent to a target.
+    #[display("slow_body")]
+    SlowBody,
     /// The body is too long.
     #[display("too_large")]
     TooLarge,
