--- a/src/connection/outbound.rs
+++ b/src/connection/outbound.rs
@@ -27,9 +27,10 @@
 use crate::request::reply::{Cause, Outcome};
 use crate::time::{Clock, Moment};
 
-/// The longest wait for a new connection. Targets are a few milliseconds away, so one lost packet of
-/// the handshake, which is sent again after a second, is not worth waiting for.
-pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// The longest wait for a new connection. Targets are a few milliseconds away, and one lost packet of
+/// the handshake, which is sent again after a second, is not worth waiting for: nothing has been sent
+/// yet, so another target can be tried at no cost.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// How long sent bytes may stay unacknowledged before the connection counts as dead.
 pub const UNACKNOWLEDGED: Duration = Duration::from_secs(2);
 /// The longest answer of a target, in bytes; it bounds the memory that one leg can take.
--- a/src/process/journal.rs
+++ b/src/process/journal.rs
@@ -8,7 +8,6 @@
 pub mod field;
 pub mod read;
 
-use std::collections::VecDeque;
 use std::io::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
@@ -73,7 +72,7 @@
 /// The lines that wait to be written.
 #[derive(Debug, Default)]
 struct Queue {
-    bytes: Mutex<VecDeque<u8>>,
+    bytes: Mutex<Vec<u8>>,
     filled: Condvar,
     emptied: Condvar,
 }
@@ -123,7 +122,7 @@
             DROPPED.fetch_add(1, Ordering::Relaxed);
             return;
         }
-        bytes.extend(line);
+        bytes.extend_from_slice(line);
         drop(bytes);
         self.filled.notify_one();
     }
@@ -142,11 +141,11 @@
             drop(bytes);
             std::thread::sleep(GATHER);
             let lines = std::mem::take(&mut *self.bytes());
-            let (front, back) = lines.as_slices();
-            let written = out.write_all(front).and_then(|()| out.write_all(back));
-            if written.and_then(|()| out.flush()).is_err() {
-                // Nobody reads the log any longer.
-                DROPPED.fetch_add(1, Ordering::Relaxed);
+            for chunk in chunks(&lines) {
+                if out.write_all(chunk).and_then(|()| out.flush()).is_err() {
+                    // Nobody reads the log any longer.
+                    DROPPED.fetch_add(1, Ordering::Relaxed);
+                }
             }
             self.emptied.notify_all();
         }
@@ -160,11 +159,31 @@
         drop(waited);
     }
 
-    fn bytes(&self) -> MutexGuard<'_, VecDeque<u8>> {
+    fn bytes(&self) -> MutexGuard<'_, Vec<u8>> {
         self.bytes.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
+/// Splits lines into writes of whole lines that a pipe takes at once, so that the lines of several
+/// processes do not mix.
+fn chunks(lines: &[u8]) -> impl Iterator<Item = &[u8]> {
+    /// What a write to a pipe may hold to be atomic (`PIPE_BUF`).
+    const ATOMIC: usize = 4_096;
+    let mut rest = lines;
+    std::iter::from_fn(move || {
+        let mut end = 0;
+        while let Some(length) = rest[end..].iter().position(|byte| *byte == b'\n') {
+            if end > 0 && end + length + 1 > ATOMIC {
+                break;
+            }
+            end += length + 1;
+        }
+        let (chunk, left) = rest.split_at(if end == 0 { rest.len() } else { end });
+        rest = left;
+        (!chunk.is_empty()).then_some(chunk)
+    })
+}
+
 /// Bounds the lines of one kind to a rate, and counts those above it.
 #[derive(Debug, Clone, Copy)]
 pub struct Limit {
