--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -1,6 +1,6 @@
 //! The operators' client: global options, exit codes, and the dispatch to one module per command.
 //!
-//! `docs/OPERATING.md` describes each task with its command, its output and its exit codes.
+//! `docs/OPERATIONS.md` describes each task with its command, its output and its exit codes.
 
 pub mod apply;
 pub mod change;
--- a/src/wire/reason.rs
+++ b/src/wire/reason.rs
@@ -1,6 +1,6 @@
 //! Why work was refused, and why extra work was caused.
 //!
-//! Each reason is the label of a counter (`docs/OPERATING.md`) and decides whether a refusal may say
+//! Each reason is the label of a counter (`docs/OPERATIONS.md`) and decides whether a refusal may say
 //! "not run" (`docs/CALLERS.md`).
 
 use derive_more::Display;
