--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -4,6 +4,7 @@
 //! knows the nodes, [`follow`] keeps up with the store. This module ties them to time and sockets.
 
 mod control;
+mod report;
 mod serve;
 
 use std::collections::HashMap;
--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -11,7 +11,7 @@
 use crate::connection::keyspace::{Age, Keyspace, Revision};
 use crate::connection::outbound::Protocol;
 use crate::process::follow::{Follow, Notice};
-use crate::process::mirror::{Change, Copy};
+use crate::process::mirror::{Change, Copy, Mirror};
 use crate::process::pulse::Socket;
 use crate::process::registry::Effect;
 use crate::process::roster::{PULSE, Pulse};
@@ -119,6 +119,7 @@
             },
         );
         myself.send_interval(PULSE, || Message::Tick);
+        shared.meters.store_up.set(1);
         Ok(State {
             shared,
             dialect,
@@ -200,7 +201,7 @@
 
     fn mirror<F>(&self, prefix: &str, change: F) -> Vec<Change>
     where
-        F: FnOnce(&mut crate::process::mirror::Mirror) -> Vec<Change>,
+        F: FnOnce(&mut Mirror) -> Vec<Change>,
     {
         let mut mirrors = self.shared.mirrors();
         let mirror = mirrors.iter_mut().find(|it| it.prefix() == prefix);
@@ -326,21 +327,21 @@
         let now = self.shared.clock.now();
         if pulse.revision > self.latest() {
             self.behind.get_or_insert((now, pulse.node.clone()));
-        } else if pulse.revision == self.latest() && self.store_or_peer_is_fresh(&pulse) {
+        } else if pulse.revision == self.latest() && self.is_confirmed_by(&pulse) {
             self.shared.refresh(now + FRESH);
         }
         self.shared.roster().hear(pulse, now);
     }
 
-    /// Tells whether a peer with the same state proves it fresh: it is ready only while it is.
-    const fn store_or_peer_is_fresh(&self, pulse: &Pulse) -> bool {
+    /// Tells whether a peer with the same state confirms it while this node cannot reach the store.
+    const fn is_confirmed_by(&self, pulse: &Pulse) -> bool {
         !self.store_answers && pulse.fresh
     }
 
     /// Returns the revision of the last change that this node has applied.
     fn latest(&self) -> Revision {
         let mirrors = self.shared.mirrors();
-        let latest = mirrors.iter().map(crate::process::mirror::Mirror::latest);
+        let latest = mirrors.iter().map(Mirror::latest);
         latest.max().unwrap_or_default()
     }
 
