--- a/src/process/journal/field.rs
+++ b/src/process/journal/field.rs
@@ -1,7 +1,7 @@
 //! The names of the fields of log lines, which `redwinggrade trace` reads again.
 //!
-//! The macros of `log` take names only as literals, so writers repeat them; `tests/journal.rs` fails if
-//! a writer and this list differ.
+//! The macros of `log` take names only as literals, so writers repeat them; `platform/tests/living.rs`
+//! reads what the real program writes by these names.
 
 /// Microseconds since the start of the process, by its monotonic clock.
 pub const AT: &str = "at_us";
