Name the bound on the heads of answers for what it is

READ_BUFFER said 16 KiB, but the only use took the larger of it and 64 KiB. The value in force is unchanged. Clippy and the 17 serving tests pass.

--- a/src/connection/outbound.rs
+++ b/src/connection/outbound.rs
@@ -46,8 +46,8 @@
 /// Handovers between call and connection per run of their task: an answer takes three, for its
 /// head, its body and its end.
 const HANDOVERS: usize = 3;
-/// Read buffer of one connection, in bytes; usual answers fit, and many connections stay open.
-const READ_BUFFER: usize = 16 << 10;
+/// The longest head of an answer, in bytes; the buffer of a connection grows up to it only when needed.
+const HEAD_MAX: usize = 64 << 10;
 
 /// A request of a caller, as it goes to each target.
 #[derive(Debug, Clone)]
@@ -256,7 +256,7 @@
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, connect).await??;
         tune(&stream);
         let (sender, driver) = http1::Builder::new()
-            .max_buf_size(READ_BUFFER.max(64 << 10))
+            .max_buf_size(HEAD_MAX)
             .handshake(TokioIo::new(stream))
             .await
             .map_err(std::io::Error::other)?;
