Count the time before a request is read against its deadline

Cause: a busy instance reads a request late, and counted the caller's patience from then. Ruled out: the wait for connections (the remaining time is taken when the request is written). Change: process::lag measures how late tasks run; the adapter dates a request back by it; a request whose patience has ended is refused as not run. The log line of a request tells the wait.

--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -10,7 +10,7 @@
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::Duration;
 
 use anyhow::Context;
@@ -20,6 +20,7 @@
 
 use super::budget::{Bound, Budget};
 use super::journal::Limit;
+use super::lag::Lag;
 use super::meters::Meters;
 use super::mirror::{Copy, Mirror};
 use super::placement::Placement;
@@ -71,8 +72,10 @@
     pub host: String,
     /// What goes to targets.
     pub call: Call,
-    /// How long the caller waits.
+    /// How long the caller waits, counted from when it sent the request.
     pub patience: Option<Duration>,
+    /// When the caller sent the request, as far as this node knows.
+    pub sent: Moment,
 }
 
 /// The handle of a running entry instance.
@@ -111,6 +114,7 @@
     grace: AtomicU64,
     stopping: AtomicBool,
     running: AtomicUsize,
+    lag: Mutex<Lag>,
     meters: Meters,
     lines: Mutex<Lines>,
 }
@@ -221,6 +225,7 @@
             grace: AtomicU64::new(u64::try_from(config.grace.as_micros()).unwrap_or(u64::MAX)),
             stopping: AtomicBool::new(false),
             running: AtomicUsize::new(0),
+            lag: Mutex::new(Lag::open(clock.now())),
             meters: Meters::open(),
             lines: Mutex::new(Lines {
                 requests: Limit::open(Lines::REQUESTS_PER_SECOND),
@@ -231,9 +236,16 @@
         let control = control::spawn(Arc::clone(&shared), &platform.keyspace, dialect)
             .await
             .context("cannot start the control actor")?;
+        tokio::spawn(watch_lag(Arc::downgrade(&shared)));
         Ok(Self { shared, control })
     }
 
+    /// Returns when a request was sent of which the first bytes are read now.
+    pub fn sent(&self) -> Moment {
+        let now = self.shared.clock.now();
+        now - self.shared.lag().at(now)
+    }
+
     /// Returns the limits on what callers send.
     pub fn limits(&self) -> Limits {
         let table = self.shared.table.load();
@@ -321,6 +333,10 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn lag(&self) -> MutexGuard<'_, Lag> {
+        self.lag.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn roster(&self) -> MutexGuard<'_, Roster> {
         self.roster.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -406,3 +422,17 @@
 const fn pulse_of(host: IpAddr, own: SocketAddr) -> SocketAddr {
     SocketAddr::new(host, own.port())
 }
+
+/// Keeps the measure of this process's lateness up to date.
+async fn watch_lag<P>(shared: Weak<Shared<P>>) {
+    loop {
+        let Some(due) = shared.upgrade().map(|it| it.clock.instant(it.lag().due())) else {
+            return;
+        };
+        tokio::time::sleep_until(due.into()).await;
+        if let Some(shared) = shared.upgrade() {
+            let now = shared.clock.now();
+            shared.lag().wake(now);
+        }
+    }
+}
--- a/src/process/entry/report.rs
+++ b/src/process/entry/report.rs
@@ -7,8 +7,7 @@
 use hyper::header::HeaderValue;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::Shared;
-use crate::connection::outbound::Call;
+use super::{Arrival, Shared};
 use crate::request::fanout::{Extra, Fanout};
 use crate::request::reply::Verdict;
 use crate::time::Moment;
@@ -18,7 +17,10 @@
 pub(super) struct Report<P> {
     shared: Arc<Shared<P>>,
     id: HeaderValue,
-    start: Moment,
+    /// When the caller sent it.
+    sent: Moment,
+    /// When it had been read.
+    read: Moment,
     pub(super) sampled: bool,
     pub(super) version: u64,
     pub(super) route: Option<Arc<Route>>,
@@ -36,13 +38,15 @@
     /// Services that a line names at most.
     const MISSING_MAX: usize = 5;
 
-    pub(super) fn open(shared: &Arc<Shared<P>>, call: &Call) -> Self {
+    pub(super) fn open(shared: &Arc<Shared<P>>, arrival: &Arrival) -> Self {
         shared.running.fetch_add(1, Ordering::AcqRel);
+        let id = &arrival.call.id;
         Self {
             shared: Arc::clone(shared),
-            id: call.id.clone(),
-            start: shared.clock.now(),
-            sampled: xxh3_64(call.id.as_bytes()).is_multiple_of(Self::SAMPLE),
+            id: id.clone(),
+            sent: arrival.sent,
+            read: shared.clock.now(),
+            sampled: xxh3_64(id.as_bytes()).is_multiple_of(Self::SAMPLE),
             version: 0,
             route: None,
             answered: 0,
@@ -90,7 +94,7 @@
     fn write(&mut self, outcome: &'static str, reason: &str, retry_after: Option<f64>) {
         self.ended = true;
         let now = self.shared.clock.now();
-        let took = now.since(self.start);
+        let took = now.since(self.sent);
         self.shared.meters.request(outcome, reason.to_owned(), took);
         let route = self.route.as_ref();
         let late = route.is_some_and(|route| took > route.objective);
@@ -100,6 +104,7 @@
         }
         log::info!(
             request:% = text(&self.id), outcome, reason, late, took_ms = millis(took),
+            waited_ms = millis(self.read.since(self.sent)),
             objective_ms = route.map(|route| millis(route.objective)),
             route = route.map_or("", |route| &*route.name), version = self.version,
             answered = self.answered, shards = self.shards, missing = self.missing.join(","),
--- a/src/process/entry/serve.rs
+++ b/src/process/entry/serve.rs
@@ -45,7 +45,7 @@
     /// Serves a request; dropping the future cancels its legs.
     pub async fn answer(&self, arrival: Arrival) -> Verdict {
         let shared = &self.shared;
-        let mut report = Report::open(shared, &arrival.call);
+        let mut report = Report::open(shared, &arrival);
         let verdict = self.decide(arrival, &mut report).await;
         report.end(&verdict);
         verdict
@@ -77,6 +77,13 @@
         let route = Arc::clone(route);
         report.version = table.number.0;
         report.route = Some(Arc::clone(&route));
+        let patience = arrival
+            .patience
+            .map_or(route.timeout, |it| it.saturating_sub(WAY_BACK));
+        let deadline = arrival.sent + patience.min(route.timeout);
+        if deadline <= now {
+            return refused(Reason::ReadLate);
+        }
         let (admitted, strained) = shared.admit(&route, now);
         if !admitted {
             return Verdict::Refused {
@@ -90,15 +97,12 @@
             // Targets that have too much to do already must not get a leg twice.
             hedge = route.timeout;
         }
-        let patience = arrival
-            .patience
-            .map_or(route.timeout, |it| it.saturating_sub(WAY_BACK));
         let plan = Plan {
-            deadline: now + patience.min(route.timeout),
+            deadline,
             table,
             route,
             services,
-            arrived: now,
+            sent: arrival.sent,
             expected,
             hedge,
         };
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -12,6 +12,7 @@
 pub mod gate;
 pub mod gateway;
 pub mod journal;
+pub mod lag;
 pub mod ledger;
 pub mod log;
 pub mod meters;
--- a/src/request/fanout.rs
+++ b/src/request/fanout.rs
@@ -42,8 +42,8 @@
     pub route: Arc<Route>,
     /// The services that are asked.
     pub services: Vec<Arc<str>>,
-    /// When the request arrived.
-    pub arrived: Moment,
+    /// When the caller sent the request.
+    pub sent: Moment,
     /// When the final answer is due.
     pub deadline: Moment,
     /// How long a leg usually takes.
@@ -498,7 +498,7 @@
         if self.limit.is_none() || self.answered < self.needed {
             return Moment::NEVER;
         }
-        self.plan.arrived + self.plan.route.objective.saturating_sub(REPLY_MARGIN)
+        self.plan.sent + self.plan.route.objective.saturating_sub(REPLY_MARGIN)
     }
 
     fn verdict(&mut self, now: Moment, placement: &Placement) -> Option<Verdict> {
--- a/src/request/reply.rs
+++ b/src/request/reply.rs
@@ -117,6 +117,9 @@
     /// The target did not answer in time.
     #[display("timeout")]
     Timeout,
+    /// The caller's patience had ended when the node read the request.
+    #[display("read_late")]
+    ReadLate,
     /// Too many requests run at this node.
     #[display("overload")]
     Overload,
--- a/tests/fanout.rs
+++ b/tests/fanout.rs
@@ -34,7 +34,7 @@
         let plan = Plan {
             table: table((*route).clone(), services, None),
             services: (0..services).map(|n| Arc::from(format!("s{n}"))).collect(),
-            arrived: at(0),
+            sent: at(0),
             deadline: at(2_000),
             expected: EXPECTED,
             hedge: ms(HEDGE),
