Let one node of each data centre watch the store and give changes to the others

Change: the roster elects one watcher a data centre; the others pull what has changed since their revision from the nearest node that is ahead; pulses go to resting nodes of other data centres only every tenth round.

--- a/src/connection/exchange.rs
+++ b/src/connection/exchange.rs
@@ -1,6 +1,6 @@
-//! Copies of a node's mirrors, given to nodes that cannot reach the store.
+//! Changes of a node's mirrors, given to nodes that do not watch the store or cannot reach it.
 //!
-//! The bodies are `MessagePack` over HTTP/1.1, because a copy is rare and may be large.
+//! The bodies are `MessagePack` over HTTP/1.1, because a copy may be large.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -11,9 +11,12 @@
 use hyper::client::conn::http1;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
 use tokio::net::TcpStream;
 use tokio_util::task::AbortOnDropHandle;
 
+use super::keyspace::Revision;
 use super::outbound::tune;
 use crate::process::mirror::Copy;
 
@@ -24,19 +27,31 @@
 /// The longest copy that is read, in bytes.
 const COPY_MAX: usize = 16 << 20;
 
-/// Asks a node for copies of its mirrors.
-pub async fn pull(from: SocketAddr) -> anyhow::Result<Vec<Copy>> {
-    tokio::time::timeout(TIMEOUT, exchange(from))
+/// What a node answers to one that lacks changes.
+#[serde_as]
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Update {
+    /// What the other node lacks, for each mirror.
+    pub copies: Vec<Copy>,
+    /// How much longer the store's last word proves that nothing newer exists.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub fresh: Duration,
+}
+
+/// Asks a node for what has changed in its mirrors since the revisions.
+pub async fn pull(from: SocketAddr, after: &[Revision]) -> anyhow::Result<Update> {
+    tokio::time::timeout(TIMEOUT, exchange(from, after))
         .await
         .context("the node did not answer in time")?
 }
 
-async fn exchange(from: SocketAddr) -> anyhow::Result<Vec<Copy>> {
+async fn exchange(from: SocketAddr, after: &[Revision]) -> anyhow::Result<Update> {
     let stream = TcpStream::connect(from).await?;
     tune(&stream);
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     let _connection = AbortOnDropHandle::new(tokio::spawn(connection));
-    let request = Request::get(PATH)
+    let after: Vec<String> = after.iter().map(Revision::to_string).collect();
+    let request = Request::get(format!("{PATH}?after={}", after.join(",")))
         .header("host", from.to_string())
         .body(Empty::<Bytes>::new())?;
     let response = sender.send_request(request).await?;
@@ -52,8 +67,17 @@
     Ok(rmp_serde::from_slice(&body.to_bytes())?)
 }
 
-/// Encodes copies for another node.
-pub fn encode(copies: &[Copy]) -> Bytes {
-    let bytes = rmp_serde::to_vec(copies).expect("copies hold only types that can be encoded");
+/// Reads the revisions from the query of a request; without them, copies are whole.
+pub fn after(query: Option<&str>) -> Vec<Revision> {
+    let list = query.and_then(|query| query.strip_prefix("after="));
+    let numbers = list.into_iter().flat_map(|list| list.split(','));
+    numbers
+        .map(|number| Revision(number.parse().unwrap_or_default()))
+        .collect()
+}
+
+/// Encodes the answer to another node.
+pub fn encode(update: &Update) -> Bytes {
+    let bytes = rmp_serde::to_vec(update).expect("copies hold only types that can be encoded");
     bytes.into()
 }
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -22,10 +22,11 @@
 use super::journal::Limit;
 use super::lag::Lag;
 use super::meters::Meters;
-use super::mirror::{Copy, Mirror};
+use super::mirror::Mirror;
 use super::placement::Placement;
 use super::roster::Roster;
-use crate::connection::keyspace::Keyspace;
+use crate::connection::exchange::Update;
+use crate::connection::keyspace::{Keyspace, Revision};
 use crate::connection::outbound::{Call, Pool, Protocol};
 use crate::request::admission::Admission;
 use crate::request::latency::Latency;
@@ -271,9 +272,17 @@
             .addresses(data_centre, own, &mut rand::rng(), now)
     }
 
-    /// Returns copies of the mirrors, for a node that cannot reach the store.
-    pub fn copies(&self) -> Vec<Copy> {
-        self.shared.mirrors().iter().map(Mirror::copy).collect()
+    /// Returns what another node lacks that has every change up to the revisions.
+    pub fn update(&self, after: &[Revision]) -> Update {
+        let now = self.shared.clock.now();
+        let until = Moment::from_micros(self.shared.fresh_until.load(Ordering::Acquire));
+        let after = after.iter().copied().chain(std::iter::repeat(Revision(0)));
+        let mirrors = self.shared.mirrors();
+        let copies = mirrors.iter().zip(after).map(|(it, after)| it.copy(after));
+        Update {
+            copies: copies.collect(),
+            fresh: now.until(until),
+        }
     }
 
     /// Renders the meters in the Prometheus text format.
--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -7,11 +7,11 @@
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 
 use super::{Shared, pulse_of};
-use crate::connection::exchange;
+use crate::connection::exchange::{self, Update};
 use crate::connection::keyspace::{Age, Keyspace, Revision};
 use crate::connection::outbound::Protocol;
 use crate::process::follow::{Follow, Notice};
-use crate::process::mirror::{Change, Copy, Mirror};
+use crate::process::mirror::{Change, Mirror};
 use crate::process::pulse::Socket;
 use crate::process::registry::Effect;
 use crate::process::roster::{PULSE, Pulse};
@@ -21,8 +21,14 @@
 /// How long the last word of the store or of a peer proves that no newer table exists. A change must
 /// be in force within three seconds.
 const FRESH: Duration = Duration::from_secs(2);
-/// How long another node may know of changes that this one lacks before the watches start again.
-const BEHIND: Duration = Duration::from_millis(400);
+/// How long another node may know of changes that this one lacks, although it watches the store, before
+/// the watch starts again. Watches gather changes for less than half a second.
+const BEHIND_WATCHING: Duration = Duration::from_millis(1_500);
+/// The same for a node that watches nothing, if the other node is in another data centre: one of its own
+/// will know soon, and its bytes cost nothing.
+const BEHIND_FAR: Duration = Duration::from_millis(500);
+/// The time between two questions for changes by a node that does not serve callers.
+const BEHIND_RESTING: Duration = Duration::from_millis(900);
 /// How long after its start a node has heard of all others.
 const SETTLED: Duration = Duration::from_secs(10);
 /// Rounds of pulses between two looks at the seeds.
@@ -35,8 +41,8 @@
     Notice(Notice),
     /// Another node said something.
     Pulse(Pulse),
-    /// Another node gave copies of its mirrors.
-    Copies(Option<Vec<Copy>>),
+    /// Another node gave what this one lacks, or did not answer.
+    Update(Option<Update>),
     /// A period has passed.
     Tick,
     /// The node stops.
@@ -76,12 +82,21 @@
     follow: Follow,
     socket: Socket,
     store_answers: bool,
-    /// Since when another node has known of changes that this one lacks, and which node.
-    behind: Option<(Moment, Node)>,
+    /// Whether the store has answered this node's watch since it began.
+    watched: bool,
+    behind: Option<Behind>,
     pulling: bool,
+    pulled: Moment,
     rounds: u32,
 }
 
+/// What another node knows and this one lacks.
+struct Behind {
+    since: Moment,
+    node: Node,
+    revision: Revision,
+}
+
 impl<K, P> Actor for Control<K, P>
 where
     K: Keyspace,
@@ -126,8 +141,10 @@
             follow,
             socket,
             store_answers: true,
+            watched: false,
             behind: None,
             pulling: false,
+            pulled: Moment::ZERO,
             rounds: 0,
         })
     }
@@ -140,8 +157,8 @@
     ) -> Result<(), ActorProcessingErr> {
         match message {
             Message::Notice(notice) => state.notice(notice),
-            Message::Pulse(pulse) => state.hear(pulse),
-            Message::Copies(copies) => state.adopt(copies),
+            Message::Pulse(pulse) => state.hear(pulse, &myself),
+            Message::Update(update) => state.adopt(update),
             Message::Tick => state.tick(&myself),
             Message::Leave => {
                 state.follow.leave();
@@ -184,6 +201,7 @@
                 });
                 self.apply(changes, now);
                 self.shared.refresh(now + FRESH);
+                self.watched = true;
             }
             Notice::Store { answers, cause } => {
                 if answers {
@@ -319,23 +337,34 @@
         self.shared.placement().share(&names, settled);
     }
 
-    fn hear(&mut self, pulse: Pulse) {
+    fn hear(&mut self, pulse: Pulse, myself: &ActorRef<Message>) {
         let own = &self.shared.config.node;
         if pulse.node.name == own.name {
             return;
         }
         let now = self.shared.clock.now();
-        if pulse.revision > self.latest() {
-            self.behind.get_or_insert((now, pulse.node.clone()));
-        } else if pulse.revision == self.latest() && self.is_confirmed_by(&pulse) {
+        let latest = self.latest();
+        let follows = !self.is_watching() || !self.store_answers;
+        if pulse.revision > latest {
+            let near = |node: &Node| node.data_centre == own.data_centre;
+            let since = self.behind.as_ref().map_or(now, |behind| behind.since);
+            let farther = |behind: &Behind| !near(&behind.node) && near(&pulse.node);
+            if self.behind.as_ref().is_none_or(farther) {
+                self.behind = Some(Behind {
+                    since,
+                    node: pulse.node.clone(),
+                    revision: pulse.revision,
+                });
+            }
+        } else if pulse.revision == latest && follows && pulse.fresh {
             self.shared.refresh(now + FRESH);
         }
         self.shared.roster().hear(pulse, now);
+        self.catch_up(myself, now);
     }
 
-    /// Tells whether a peer with the same state confirms it while this node cannot reach the store.
-    const fn is_confirmed_by(&self, pulse: &Pulse) -> bool {
-        !self.store_answers && pulse.fresh
+    fn is_watching(&self) -> bool {
+        self.shared.roster().watches()
     }
 
     /// Returns the revision of the last change that this node has applied.
@@ -350,7 +379,7 @@
         let pulse = Pulse {
             node: self.shared.config.node.clone(),
             ready: self.shared.ready(),
-            fresh: self.store_answers && !self.shared.is_uncertain(now),
+            fresh: self.watched && self.store_answers && !self.shared.is_uncertain(now),
             revision: self.latest(),
         };
         let own = self.shared.config.node.pulse;
@@ -373,6 +402,7 @@
         self.rounds = self.rounds.wrapping_add(1);
         let node = &self.shared.config.node;
         self.shared.roster().elect(node, now);
+        self.watch();
         self.share();
         self.pulse(self.rounds);
         self.shared.roster().expire(now);
@@ -384,7 +414,7 @@
         for effect in effects {
             self.effect(effect);
         }
-        if self.store_answers {
+        if self.watched && self.store_answers {
             self.shared.refresh_if_quiet(now + FRESH);
         }
         self.gauge(now);
@@ -403,13 +433,25 @@
         meters.running.set(count(running));
     }
 
-    /// Starts the watches again, or asks another node, if this one lacks changes.
+    /// Begins or ends to watch the store, as the roster says.
+    fn watch(&mut self) {
+        let watches = self.is_watching();
+        self.watched &= watches;
+        let mirrors = self.shared.mirrors();
+        // The watches share one revision, from which every mirror must be complete.
+        let known = mirrors.iter().map(Mirror::revision).min();
+        drop(mirrors);
+        self.follow.watch(known.filter(|_| watches));
+    }
+
+    /// Asks another node for what this one lacks, and starts the watches again if they should have
+    /// brought it.
     fn catch_up(&mut self, myself: &ActorRef<Message>, now: Moment) {
+        let latest = self.latest();
+        self.behind.take_if(|behind| behind.revision <= latest);
         let without_settings = self.shared.table.load().is_none() && !self.store_answers;
         let from = match &self.behind {
-            Some((since, node)) if now.since(*since) >= BEHIND || !self.store_answers => {
-                Some(node.peer)
-            }
+            Some(behind) if self.is_due(behind, now) => Some(behind.node.peer),
             None if without_settings => {
                 let seeds = &self.shared.config.seeds;
                 seeds
@@ -422,32 +464,49 @@
             return;
         };
         self.behind = None;
-        if self.store_answers {
+        if self.store_answers && self.is_watching() {
             self.follow.refresh();
         }
         self.pulling = true;
+        self.pulled = now;
+        let after: Vec<Revision> = self.shared.mirrors().iter().map(Mirror::revision).collect();
         let actor = myself.clone();
         tokio::spawn(async move {
-            let copies = exchange::pull(from).await;
-            if let Err(e) = &copies {
+            let update = exchange::pull(from, &after).await;
+            if let Err(e) = &update {
                 log::info!(peer:% = from, error:% = e; "no copy from another node");
             }
-            let _running = actor.cast(Message::Copies(copies.ok()));
+            let _running = actor.cast(Message::Update(update.ok()));
         });
     }
 
-    fn adopt(&mut self, copies: Option<Vec<Copy>>) {
+    /// Tells whether it is time to ask another node.
+    fn is_due(&self, behind: &Behind, now: Moment) -> bool {
+        let own = &self.shared.config.node;
+        let waited = now.since(behind.since);
+        let roster = self.shared.roster();
+        if roster.watches() && self.store_answers {
+            waited >= BEHIND_WATCHING
+        } else if behind.node.data_centre != own.data_centre {
+            waited >= BEHIND_FAR
+        } else {
+            roster.serves() || now.since(self.pulled) >= BEHIND_RESTING
+        }
+    }
+
+    fn adopt(&mut self, update: Option<Update>) {
         self.pulling = false;
-        let Some(copies) = copies else { return };
+        let Some(update) = update else { return };
         let now = self.shared.clock.now();
         let changes = {
             let mut mirrors = self.shared.mirrors();
-            let pairs = mirrors.iter_mut().zip(copies);
+            let pairs = mirrors.iter_mut().zip(update.copies);
             pairs
-                .flat_map(|(mirror, copy)| mirror.replace(copy.items, copy.revision))
+                .flat_map(|(mirror, copy)| mirror.adopt(copy))
                 .collect()
         };
         self.apply(changes, now);
+        self.shared.refresh(now + update.fresh);
     }
 }
 
--- a/src/process/follow.rs
+++ b/src/process/follow.rs
@@ -1,12 +1,12 @@
 //! Keeps a node's mirrors in step with the platform's store, and its record in the store.
 //!
 //! One task renews the node's lease and thereby finds out whether the store answers; one task for each
-//! prefix lists it and then watches it. A watch that is cut, or that says nothing although other nodes
+//! prefix lists it and then, on the few nodes that should, watches it. A watch that is cut, or that says nothing although other nodes
 //! know of changes, is started again from the last revision. While the store does not answer, only the
 //! lease's task calls it, because each call is counted.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use rand::Rng;
@@ -93,6 +93,10 @@
     answers: AtomicBool,
     failures: AtomicU32,
     stopping: AtomicBool,
+    /// Whether this node watches the store; the first election decides it.
+    watching: AtomicBool,
+    /// Every change up to this revision has come from another node.
+    known: AtomicU64,
     /// Wakes tasks that wait for the store, and watches that must start again.
     changed: Notify,
     /// Wakes the lease's task.
@@ -117,6 +121,8 @@
             answers: AtomicBool::new(true),
             failures: AtomicU32::new(0),
             stopping: AtomicBool::new(false),
+            watching: AtomicBool::new(false),
+            known: AtomicU64::new(0),
             changed: Notify::new(),
             renew: Notify::new(),
         });
@@ -143,6 +149,16 @@
         self.link.changed.notify_waiters();
     }
 
+    /// Begins to watch the store from a revision, or leaves that to other nodes.
+    pub fn watch(&self, from: Option<Revision>) {
+        let Revision(known) = from.unwrap_or_default();
+        self.link.known.fetch_max(known, Ordering::AcqRel);
+        let before = self.link.watching.swap(from.is_some(), Ordering::AcqRel);
+        if before != from.is_some() {
+            self.link.changed.notify_waiters();
+        }
+    }
+
     /// Ends the node's lease.
     pub fn leave(&self) {
         self.link.stopping.store(true, Ordering::Release);
@@ -184,6 +200,15 @@
     fn answers(&self) -> bool {
         self.answers.load(Ordering::Acquire)
     }
+
+    fn watching(&self) -> bool {
+        self.watching.load(Ordering::Acquire)
+    }
+
+    /// Returns up to which revision other nodes have given every change.
+    fn known(&self) -> Revision {
+        Revision(self.known.load(Ordering::Acquire))
+    }
 }
 
 fn pause() -> Duration {
@@ -245,6 +270,11 @@
         };
         let mut pause = GATHER_MIN;
         loop {
+            if wait > Duration::ZERO && rest(&link).await {
+                after = after.max(link.known());
+                // The first answer tells whether this node's state is the newest.
+                wait = Duration::ZERO;
+            }
             let start = Instant::now();
             let watch = bounded(
                 &link.meters,
@@ -297,6 +327,19 @@
     }
 }
 
+/// Waits until this node should watch the store; tells whether it had to wait.
+async fn rest(link: &Link) -> bool {
+    let mut waited = false;
+    loop {
+        let changed = link.changed.notified();
+        if link.watching() {
+            return waited;
+        }
+        waited = true;
+        changed.await;
+    }
+}
+
 /// Waits a little, and then until the store answers.
 async fn settle(link: &Link) {
     sleep(pause() / 4).await;
--- a/src/process/mirror.rs
+++ b/src/process/mirror.rs
@@ -20,6 +20,8 @@
     items: BTreeMap<String, Value>,
     /// The removals, by key; oldest revisions are forgotten first.
     removed: BTreeMap<String, Revision>,
+    /// Every change of any key after this revision is among the items and the removals.
+    complete_after: Revision,
     /// Every change up to this revision is applied.
     revision: Revision,
     /// The revision of the last change that was applied.
@@ -32,13 +34,33 @@
     revision: Revision,
 }
 
-/// A whole copy, as one node gives it to another.
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
-pub struct Copy {
+/// What one node gives to another that lacks changes.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Copy {
     /// All items.
-    pub items: Vec<Item>,
-    /// Every change up to this revision is contained.
-    pub revision: Revision,
+    Whole {
+        /// The items.
+        items: Vec<Item>,
+        /// Every change up to this revision is contained.
+        revision: Revision,
+    },
+    /// What has changed since a revision that the other node has.
+    Changes {
+        /// The last change of each key.
+        events: Vec<Event>,
+        /// Every change up to this revision is contained.
+        revision: Revision,
+    },
+}
+
+impl Value {
+    fn item(&self, key: &str) -> Item {
+        Item {
+            key: key.to_owned(),
+            value: self.bytes.clone(),
+            revision: self.revision,
+        }
+    }
 }
 
 /// A change that the mirror accepted.
@@ -57,6 +79,7 @@
             prefix,
             items: BTreeMap::new(),
             removed: BTreeMap::new(),
+            complete_after: Revision(0),
             revision: Revision(0),
             latest: Revision(0),
         }
@@ -110,22 +133,50 @@
             changes.extend(self.put(item));
         }
         self.advance(revision);
+        // Keys that were written and removed before the listing have left no trace in it.
+        self.complete_after = self.complete_after.max(revision);
         changes
     }
 
-    /// Returns a copy of everything.
-    pub fn copy(&self) -> Copy {
-        Copy {
-            items: self
-                .items
-                .iter()
-                .map(|(key, value)| Item {
-                    key: key.clone(),
-                    value: value.bytes.clone(),
-                    revision: value.revision,
-                })
-                .collect(),
-            revision: self.revision,
+    /// Returns what a node lacks that has every change up to `after`.
+    ///
+    /// Changes are far fewer than items, and every node asks for them several times a second while targets
+    /// come and go. Without a continuous history since `after`, the copy is whole.
+    pub fn copy(&self, after: Revision) -> Copy {
+        let revision = self.revision;
+        if after == Revision::default() || after < self.complete_after {
+            let items = self.items.iter().map(|(key, value)| value.item(key));
+            return Copy::Whole {
+                items: items.collect(),
+                revision,
+            };
+        }
+        let written = self
+            .items
+            .iter()
+            .filter(|(_, value)| value.revision > after);
+        let written = written.map(|(key, value)| Event::Put(value.item(key)));
+        let removed = self.removed.iter().filter(|(_, removed)| **removed > after);
+        let removed = removed.map(|(key, revision)| Event::Removed {
+            key: key.clone(),
+            revision: *revision,
+        });
+        Copy::Changes {
+            events: written.chain(removed).collect(),
+            revision,
+        }
+    }
+
+    /// Takes what another node gave; returns what changed.
+    pub fn adopt(&mut self, copy: Copy) -> Vec<Change> {
+        match copy {
+            Copy::Whole { items, revision } => self.replace(items, revision),
+            Copy::Changes { events, revision } => {
+                let changes = events.into_iter().filter_map(|event| self.apply(event));
+                let changes = changes.collect();
+                self.advance(revision);
+                changes
+            }
         }
     }
 
@@ -167,7 +218,8 @@
         if self.removed.len() > REMOVED_MAX {
             let oldest = self.removed.iter().min_by_key(|(_, revision)| **revision);
             if let Some(oldest) = oldest.map(|(key, _)| key.clone()) {
-                self.removed.remove(&oldest);
+                let forgotten = self.removed.remove(&oldest).unwrap_or_default();
+                self.complete_after = self.complete_after.max(forgotten);
             }
         }
         self.items.remove(&key)?;
--- a/src/process/roster.rs
+++ b/src/process/roster.rs
@@ -24,8 +24,11 @@
 /// Nodes of one data centre that serve callers. More of them would hold more connections to each target
 /// and know less of each, and every node hears the pulses of all of them.
 pub const FRONT: usize = 4;
-/// Rounds of pulses after which a node that does not serve callers sends one.
+/// Rounds of pulses after which a node that does not serve callers sends one, and gets one from other data
+/// centres.
 pub const REST_ROUNDS: u32 = 10;
+/// The silence that counts where pulses come only every [`REST_ROUNDS`].
+pub const REST_SILENCE: Duration = Duration::from_secs(4);
 /// How long a node that is neither listed nor heard is remembered and sent pulses.
 pub const FORGET: Duration = Duration::from_secs(15);
 /// The longest address list that callers use.
@@ -40,7 +43,7 @@
     pub node: Node,
     /// Whether it takes callers.
     pub ready: bool,
-    /// Whether the store has confirmed its state lately.
+    /// Whether it watches the store, and the store has confirmed its state lately.
     pub fresh: bool,
     /// The revision up to which its mirror is complete.
     pub revision: Revision,
@@ -52,6 +55,7 @@
     node: Node,
     listed: bool,
     ready: bool,
+    fresh: bool,
     heard: Option<Moment>,
     /// The last sign of any kind.
     seen: Moment,
@@ -61,12 +65,12 @@
 
 impl Known {
     /// Tells whether the node was heard lately, or has not had time to be heard.
-    fn may_serve(&self, now: Moment) -> bool {
+    fn may_serve(&self, silence: Duration, now: Moment) -> bool {
         let Some(front) = self.front else {
             return false;
         };
         let last = self.heard.map_or(front, |heard| heard.max(front));
-        now.since(last) < SILENCE && (self.ready || self.heard.is_none_or(|heard| heard < front))
+        now.since(last) < silence && (self.ready || self.heard.is_none_or(|heard| heard < front))
     }
 }
 
@@ -74,8 +78,11 @@
 #[derive(Debug, Default)]
 pub struct Roster {
     nodes: BTreeMap<String, Known>,
-    /// Whether this node is one of those that serve callers.
-    front: bool,
+    /// Since when this node has been one of those that serve callers.
+    front: Option<Moment>,
+    /// Whether this node should watch the store.
+    watches: bool,
+    data_centre: String,
 }
 
 impl Roster {
@@ -93,6 +100,7 @@
         let known = Known {
             listed: true,
             ready: false,
+            fresh: false,
             heard: None,
             seen: now,
             front: None,
@@ -116,6 +124,7 @@
             listed: before.is_some_and(|known| known.listed),
             front: before.and_then(|known| known.front),
             ready: pulse.ready,
+            fresh: pulse.fresh,
             heard: Some(now),
             seen: now,
             node: pulse.node,
@@ -134,6 +143,7 @@
     /// Every node decides for itself from what it hears. A node that stands in for a silent one begins
     /// to send pulses to everyone, and is in the lists as soon as it is heard.
     pub fn elect(&mut self, own: &Node, now: Moment) {
+        self.data_centre.clone_from(&own.data_centre);
         let mut order: Vec<(String, u32, String)> = self
             .nodes
             .values()
@@ -142,41 +152,77 @@
             .map(|node| (node.data_centre.clone(), node.millicores, node.name.clone()))
             .collect();
         order.sort_by(|a, b| a.0.cmp(&b.0).then(b.1.cmp(&a.1)).then(a.2.cmp(&b.2)));
-        let (mut data_centre, mut serving) = (String::new(), 0);
+        let (mut data_centre, mut serving, mut watched) = (String::new(), 0, false);
         for (place, _, name) in order {
             if place != data_centre {
-                (data_centre, serving) = (place, 0);
+                (data_centre, serving, watched) = (place, 0, false);
             }
             let front = serving < FRONT;
+            let silence = self.silence(&data_centre, now);
             match self.nodes.get_mut(&name) {
                 Some(known) if front => {
                     known.front.get_or_insert(now);
-                    serving += usize::from(known.may_serve(now));
+                    serving += usize::from(known.may_serve(silence, now));
+                    watched |= known.fresh && is_alive(known, now);
                 }
                 Some(known) => known.front = None,
                 None => {
-                    self.front = front;
+                    self.front = front.then(|| self.front.unwrap_or(now));
+                    self.watches = front && !watched;
                     serving += usize::from(front);
                 }
             }
         }
     }
 
+    /// Tells whether this node is one of those that serve callers.
+    pub const fn serves(&self) -> bool {
+        self.front.is_some()
+    }
+
+    /// Tells whether this node should watch the store: it serves callers, and no node of its data centre
+    /// that comes before it does so.
+    ///
+    /// Each watch is paid for with every change, and nodes of one data centre give changes to each other
+    /// for nothing.
+    pub const fn watches(&self) -> bool {
+        self.watches
+    }
+
+    /// Returns the silence after which a node of a data centre counts as gone.
+    fn silence(&self, data_centre: &str, now: Moment) -> Duration {
+        let serves = self.front.is_some_and(|since| now.since(since) >= SILENCE);
+        if serves || data_centre == self.data_centre {
+            SILENCE
+        } else {
+            REST_SILENCE
+        }
+    }
+
     /// Returns the nodes that share the bounds, without this one: those that serve callers.
     pub fn names(&self, now: Moment) -> impl Iterator<Item = &str> {
         self.nodes
             .iter()
-            .filter(move |(_, known)| known.may_serve(now))
+            .filter(move |(_, known)| {
+                let silence = self.silence(&known.node.data_centre, now);
+                known.may_serve(silence, now)
+            })
             .map(|(name, _)| name.as_str())
     }
 
-    /// Returns where pulses go in a round: to everyone if this node serves callers, else now and then
-    /// to those that do.
+    /// Returns where pulses go in a round: if this node serves callers, to its data centre and to those
+    /// that serve callers elsewhere, and now and then to everyone; else now and then to those that serve.
     pub fn pulses(&self, round: u32) -> impl Iterator<Item = SocketAddr> {
         let rest = round.is_multiple_of(REST_ROUNDS);
         self.nodes
             .values()
-            .filter(move |known| self.front || (rest && known.front.is_some()))
+            .filter(move |known| {
+                let near = known.node.data_centre == self.data_centre;
+                match self.front {
+                    Some(_) => near || rest || known.front.is_some(),
+                    None => rest && known.front.is_some(),
+                }
+            })
             .map(|known| known.node.pulse)
     }
 
@@ -212,7 +258,7 @@
             .values()
             .filter(|known| known.ready && known.front.is_some() && is_alive(known, now))
             .map(|known| &known.node);
-        let mut nodes: Vec<&Node> = others.chain(own.filter(|_| self.front)).collect();
+        let mut nodes: Vec<&Node> = others.chain(own.filter(|_| self.front.is_some())).collect();
         if nodes.is_empty() {
             // A node that hears nobody still serves those who ask it.
             nodes.extend(own);
--- a/tests/mirror.rs
+++ b/tests/mirror.rs
@@ -3,7 +3,7 @@
 
 use bytes::Bytes;
 use redwinggrade::connection::keyspace::{Event, Item, Revision};
-use redwinggrade::process::mirror::{Change, Mirror};
+use redwinggrade::process::mirror::{Change, Copy, Mirror};
 
 fn item(key: &str, value: &'static str, revision: u64) -> Item {
     Item {
@@ -75,9 +75,54 @@
 fn a_copy_carries_everything_to_another_node() {
     let mut first = Mirror::open("");
     first.replace(vec![item("a", "1", 3), item("b", "1", 4)], Revision(5));
-    let copy = first.copy();
+    let copy = first.copy(Revision(0));
     let mut second = Mirror::open("");
-    let changes = second.replace(copy.items, copy.revision);
+    let changes = second.adopt(copy);
     assert_eq!(changes, [put("a", "1"), put("b", "1")]);
     assert_eq!(second.latest(), first.latest());
 }
+
+#[test]
+fn a_node_that_lacks_some_changes_gets_only_those() {
+    let mut first = Mirror::open("");
+    first.replace(vec![item("a", "1", 3), item("b", "1", 4)], Revision(5));
+    let mut second = Mirror::open("");
+    second.adopt(first.copy(second.revision()));
+    first.apply(removed("a", 6));
+    first.apply(Event::Put(item("c", "1", 7)));
+    first.advance(Revision(7));
+    let copy = first.copy(second.revision());
+    assert_eq!(
+        copy,
+        Copy::Changes {
+            events: vec![Event::Put(item("c", "1", 7)), removed("a", 6)],
+            revision: Revision(7),
+        }
+    );
+    assert_eq!(second.adopt(copy), [put("c", "1"), gone("a")]);
+    assert_eq!(second.revision(), Revision(7));
+}
+
+/// A node that has just listed the store does not know which keys ended before.
+#[test]
+fn changes_are_given_only_as_far_back_as_they_are_known() {
+    let mut second = Mirror::open("");
+    second.replace(vec![item("a", "1", 3)], Revision(4));
+    let mut first = Mirror::open("");
+    first.replace(vec![item("b", "1", 8)], Revision(9));
+    let copy = first.copy(second.revision());
+    assert!(matches!(copy, Copy::Whole { .. }));
+    assert_eq!(second.adopt(copy), [gone("a"), put("b", "1")]);
+}
+
+#[test]
+fn a_node_that_forgot_removals_gives_everything() {
+    let mut first = Mirror::open("");
+    first.replace(vec![item("a", "1", 1)], Revision(1));
+    first.apply(removed("a", 2));
+    for number in 0..5_000 {
+        first.apply(removed(&format!("gone-{number}"), 3 + number));
+    }
+    assert!(matches!(first.copy(Revision(1)), Copy::Whole { .. }));
+    assert!(matches!(first.copy(Revision(5_000)), Copy::Changes { .. }));
+}
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -190,3 +190,71 @@
         "it stands in for a silent node"
     );
 }
+
+#[test]
+fn one_node_of_a_data_centre_watches_the_store_and_the_next_stands_in_for_it() {
+    let mut roster = Roster::default();
+    let own = strong(2, 300);
+    let first = strong(1, 400);
+    assert!({
+        roster.elect(&own, at(0));
+        roster.watches()
+    });
+    let now = pass(&mut roster, &own, std::slice::from_ref(&first), at(0), 3);
+    assert!(!roster.watches());
+    // It lives but cannot reach the store.
+    let pulse = Pulse {
+        node: first.clone(),
+        fresh: false,
+        ..pulse(1, HOME)
+    };
+    roster.hear(pulse, now);
+    roster.elect(&own, now);
+    assert!(roster.watches());
+    let now = pass(&mut roster, &own, &[first], now, 3);
+    assert!(!roster.watches());
+    // It falls silent.
+    roster.elect(&own, now + SILENCE);
+    assert!(roster.watches());
+}
+
+#[test]
+fn a_node_that_serves_no_caller_does_not_watch_the_store() {
+    let mut roster = Roster::default();
+    let own = strong(9, 100);
+    let nodes: Vec<Node> = (1..=4).map(|n| strong(n, 500)).collect();
+    for node in &nodes {
+        roster.list(node.clone(), at(0));
+    }
+    roster.elect(&own, at(0));
+    assert!(!roster.watches());
+}
+
+#[test]
+fn pulses_reach_resting_nodes_of_other_data_centres_now_and_then() {
+    let mut roster = Roster::default();
+    let own = strong(9, 900);
+    let away: Vec<Node> = (1..=6)
+        .map(|n| Node {
+            millicores: 100 * u32::from(n),
+            ..node(n, AWAY)
+        })
+        .collect();
+    pass(&mut roster, &own, &away, at(0), 5);
+    assert_eq!(roster.pulses(1).count(), 4);
+    assert_eq!(roster.pulses(REST_ROUNDS).count(), 6);
+}
+
+/// A resting node that stands in for another one must not take the others for gone, whose pulses come
+/// rarely: its shares of the bounds would be too large.
+#[test]
+fn a_resting_node_counts_nodes_that_it_hears_rarely() {
+    let mut roster = Roster::default();
+    let own = strong(9, 100);
+    let near: Vec<Node> = (1..=4).map(|n| strong(n, 500)).collect();
+    let far: Vec<Node> = (5..=8).map(|n| node(n, AWAY)).collect();
+    let all: Vec<Node> = near.iter().chain(&far).cloned().collect();
+    let now = pass(&mut roster, &own, &all, at(0), 5);
+    let now = pass(&mut roster, &own, &near, now, REST_ROUNDS - 1);
+    assert_eq!(roster.names(now).count(), 8);
+}
