Try silent and unreachable targets with connections of the node, not with legs of callers

Change: Placement::probes names the targets to try, the control actor opens a connection to each (32 a round, pauses doubling), and only a reached target gets a leg, one until it answers. Counter target_probes_total, log line 'target probed'.

--- a/src/connection/outbound.rs
+++ b/src/connection/outbound.rs
@@ -136,6 +136,21 @@
         }
     }
 
+    /// Opens a connection to a target to see whether it can be reached, and keeps it for the next leg.
+    pub async fn probe(&self, key: TargetKey, address: SocketAddr) -> bool {
+        match Wire::open(address).await {
+            Ok(wire) => {
+                self.put(key, wire, None);
+                true
+            }
+            Err(_unreachable) => {
+                // The target has lost the connections that it had.
+                self.forget(key);
+                false
+            }
+        }
+    }
+
     /// Sends a request to a target and waits for its whole answer until `deadline`.
     pub async fn call<P>(&self, protocol: &P, call: &Call, peer: &Peer, deadline: Moment) -> Heard
     where
@@ -175,7 +190,7 @@
                 Ok((head, body)) => {
                     let answer = protocol.read(call, &head, body);
                     if !peer.alone && !matches!(answer.outcome, Outcome::Lost(_)) {
-                        self.put(peer.key, wire, &answer);
+                        self.put(peer.key, wire, answer.keep);
                     }
                     return answer;
                 }
@@ -205,13 +220,11 @@
         None
     }
 
-    fn put(&self, key: TargetKey, mut wire: Wire, heard: &Heard) {
+    fn put(&self, key: TargetKey, mut wire: Wire, keep: Option<Duration>) {
         if wire.ended {
             return;
         }
-        let keep = heard
-            .keep
-            .map_or(KEEP_DEFAULT, |keep| keep.saturating_sub(KEEP_MARGIN));
+        let keep = keep.map_or(KEEP_DEFAULT, |keep| keep.saturating_sub(KEEP_MARGIN));
         let mut idle = self.idle();
         let Some(entry) = idle.entry(key) else {
             return;
--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -417,10 +417,33 @@
         if self.watched && self.store_answers {
             self.shared.refresh_if_quiet(now + FRESH);
         }
+        self.probe(now);
         self.gauge(now);
         self.catch_up(myself, now);
     }
 
+    /// Tries to reach the targets that gave no answer.
+    fn probe(&self, now: Moment) {
+        let mut placement = self.shared.placement();
+        for key in placement.probes(now) {
+            let Some(target) = placement.registry.get(key) else {
+                continue;
+            };
+            let (name, address) = (Arc::clone(&target.name), target.report.address);
+            let silent = placement.evidence(key, now).and_then(|it| it.stalled);
+            let shared = Arc::clone(&self.shared);
+            tokio::spawn(async move {
+                let reached = shared.pool.probe(key, address).await;
+                shared.placement().probed(key, reached);
+                shared.meters.probe(reached);
+                if shared.lines().legs.admit(shared.clock.now()) {
+                    let silent_ms = silent.map(|it| it.as_secs_f64() * 1_000.0);
+                    log::info!(target_name:% = name, reached, silent_ms; "target probed");
+                }
+            });
+        }
+    }
+
     fn gauge(&self, now: Moment) {
         let meters = &self.shared.meters;
         let count = |number: usize| i64::try_from(number).unwrap_or(i64::MAX);
--- a/src/process/meters.rs
+++ b/src/process/meters.rs
@@ -38,6 +38,13 @@
     pub outcome: &'static str,
 }
 
+/// A connection opened to a target that gave no answer.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Probe {
+    /// `reached` or `failed`.
+    pub outcome: &'static str,
+}
+
 /// All meters of a node; clones share the same values.
 #[derive(Debug, Clone)]
 pub struct Meters {
@@ -50,6 +57,8 @@
     pub leg_ends: Family<Ending, Counter>,
     /// Calls to the store.
     pub store: Family<Call, Counter>,
+    /// Connections opened to targets that gave no answer.
+    pub probes: Family<Probe, Counter>,
     /// Items of the store that could not be read.
     pub unreadable: Counter,
     /// Log lines above their rate, or beyond the queue.
@@ -83,6 +92,7 @@
             legs: Family::default(),
             leg_ends: Family::default(),
             store: Family::default(),
+            probes: Family::default(),
             unreadable: Counter::default(),
             dropped_lines: Gauge::default(),
             settings_version: Gauge::default(),
@@ -104,6 +114,11 @@
         all.register("legs", "Legs sent, by cause", self.legs.clone());
         all.register("leg_ends", "Legs by their end", self.leg_ends.clone());
         all.register("store_calls", "Calls to the store", self.store.clone());
+        all.register(
+            "target_probes",
+            "Connections opened to targets that gave no answer",
+            self.probes.clone(),
+        );
         all.register(
             "unreadable_items",
             "Items of the store that could not be read",
@@ -172,6 +187,12 @@
         self.leg_time.observe(took.as_secs_f64());
     }
 
+    /// Counts a probe of a target.
+    pub fn probe(&self, reached: bool) {
+        let outcome = if reached { "reached" } else { "failed" };
+        self.probes.get_or_create(&Probe { outcome }).inc();
+    }
+
     /// Renders all meters in the Prometheus text format; `limited` lines were above their rate.
     pub fn render(&self, limited: u64) -> String {
         let dropped = i64::try_from(journal::dropped() + limited).unwrap_or(i64::MAX);
--- a/src/process/placement.rs
+++ b/src/process/placement.rs
@@ -30,12 +30,18 @@
 const ERROR_COST: Duration = Duration::from_millis(200);
 /// What the way to another data centre costs beside its latency, because its bytes are paid for.
 const REMOTE_COST: Duration = Duration::from_millis(5);
-/// The first time for which a target that cannot be reached gets nothing.
-const SHUT_MIN: Duration = Duration::from_millis(250);
-/// The longest time for which a target that cannot be reached gets nothing.
-const SHUT_MAX: Duration = Duration::from_secs(1);
-/// How long a target may stay silent before one leg tries it again. Pauses end sooner than this.
-const STALL_PROBE: Duration = Duration::from_millis(700);
+/// The pause before the first probe of a target that could not be reached.
+const UNREACHABLE_MIN: Duration = Duration::from_millis(250);
+/// The longest pause between probes of such a target.
+const UNREACHABLE_MAX: Duration = Duration::from_secs(1);
+/// How long a target may stay silent before it is probed. Pauses end sooner than this.
+const SILENT_MIN: Duration = Duration::from_millis(700);
+/// The longest pause between probes of a silent target.
+const SILENT_MAX: Duration = Duration::from_millis(2_800);
+/// How long a probe of a target that lives takes at most, with the wait for the next round of probes.
+const PROBE_TIME: Duration = Duration::from_millis(100);
+/// Probes that begin at once at most; a crash of many targets must not take the processor from requests.
+const PROBES_MAX: usize = 32;
 /// How long a target gets nothing after it cut a new connection, which it does when it has too many.
 const CUT: Duration = Duration::from_millis(100);
 /// Nodes that are assumed after a start, before the others have been heard: connections of runs that
@@ -69,11 +75,18 @@
     /// The part of legs that failed.
     errors: f64,
     observed: Moment,
-    /// Since when a leg has been overdue, or when it was probed last.
+    /// Since when a leg has been overdue or refused a connection, without an answer since.
     stalled: Option<Moment>,
-    shut_until: Moment,
-    /// The next time for which it is shut.
-    shut: Duration,
+    /// Whether the last attempt at a connection failed.
+    unreachable: bool,
+    /// Whether a probe has reached it and no leg has been answered since.
+    unproved: bool,
+    /// When it is probed next, while it is stalled.
+    probe_at: Moment,
+    /// The pause before that probe; it doubles with each one until the target answers.
+    pause: Duration,
+    /// Until when it gets nothing because it cut a connection.
+    closed_until: Moment,
 }
 
 impl Seen {
@@ -84,8 +97,39 @@
             errors: 0.0,
             observed: now,
             stalled: None,
-            shut_until: Moment::ZERO,
-            shut: SHUT_MIN,
+            unreachable: false,
+            unproved: false,
+            probe_at: Moment::NEVER,
+            pause: Duration::ZERO,
+            closed_until: Moment::ZERO,
+        }
+    }
+
+    /// Notes that the target gives no answer; it is probed after the pause, or a longer one if it has been
+    /// probed in vain.
+    fn stall(&mut self, pause: Duration, now: Moment) {
+        if self.stalled.is_none() {
+            self.stalled = Some(now);
+            self.pause = self.pause.max(pause);
+            self.probe_at = now + self.pause;
+        }
+    }
+
+    /// Notes that the target gave a sign of life.
+    const fn prove(&mut self) {
+        self.stalled = None;
+        self.unreachable = false;
+        self.unproved = false;
+        self.pause = Duration::ZERO;
+    }
+
+    /// Returns how willingly the target is used.
+    const fn class(&self) -> Class {
+        // After a probe, one leg shows whether the target also answers.
+        if self.stalled.is_some() || (self.unproved && self.open > 0) {
+            Class::Stalled
+        } else {
+            Class::Sound
         }
     }
 
@@ -218,11 +262,7 @@
             };
             // More requests than the target has slots for would only wait there.
             let room = connections.min(target.report.slots + 1);
-            if seen.shut_until > now || seen.open >= room {
-                continue;
-            }
-            // After a time out of use, one leg shows whether the target is back.
-            if seen.shut > SHUT_MIN && seen.open > 0 {
+            if seen.unreachable || seen.closed_until > now || seen.open >= room {
                 continue;
             }
             if target.cold_until > now
@@ -231,10 +271,7 @@
             {
                 continue;
             }
-            let class = match seen.stalled {
-                Some(since) if now.since(since) < STALL_PROBE => Class::Stalled,
-                Some(_) | None => Class::Sound,
-            };
+            let class = seen.class();
             seen.fade(now);
             let cost = cost(seen, target, &self.data_centre, expected)
                 * (1.0 + JITTER * self.random.random::<f64>());
@@ -249,19 +286,46 @@
         }
         let seen = self.seen.get_mut(key)?;
         seen.open += 1;
-        if seen
-            .stalled
-            .is_some_and(|since| now.since(since) >= STALL_PROBE)
-        {
-            seen.stalled = Some(now);
-        }
         Some(key)
     }
 
     /// Notes that a leg has taken longer than expected, although it may still be answered.
     pub fn overdue(&mut self, key: TargetKey, now: Moment) {
         if let Some(seen) = self.seen.get_mut(key) {
-            seen.stalled.get_or_insert(now);
+            seen.stall(SILENT_MIN, now);
+        }
+    }
+
+    /// Returns the targets to which a connection should be opened now, to see whether they live.
+    ///
+    /// A leg of a caller that tries a dead target makes its whole query late: with a fifth of the targets
+    /// dark, a query over 135 shards met four of them.
+    pub fn probes(&mut self, now: Moment) -> Vec<TargetKey> {
+        let due = self
+            .seen
+            .iter_mut()
+            .filter(|(_, seen)| seen.stalled.is_some() && seen.probe_at <= now);
+        let due = due.take(PROBES_MAX).map(|(key, seen)| {
+            let most = if seen.unreachable {
+                UNREACHABLE_MAX
+            } else {
+                SILENT_MAX
+            };
+            seen.pause = (seen.pause * 2).min(most);
+            seen.probe_at = now + seen.pause;
+            key
+        });
+        due.collect()
+    }
+
+    /// Takes the result of a probe.
+    pub fn probed(&mut self, key: TargetKey, reached: bool) {
+        if let Some(seen) = self.seen.get_mut(key).filter(|seen| seen.stalled.is_some()) {
+            seen.unreachable = !reached;
+            if reached {
+                seen.stalled = None;
+                seen.unproved = true;
+            }
         }
     }
 
@@ -280,22 +344,20 @@
                 let ratio = took.as_secs_f64() / expected.as_secs_f64().max(0.001);
                 seen.slowness += (ratio.min(20.0) - seen.slowness) * SLOWNESS_WEIGHT;
                 seen.errors *= 1.0 - ERROR_WEIGHT;
-                seen.stalled = None;
-                seen.shut = SHUT_MIN;
+                seen.prove();
             }
             Sign::Refused => {
                 seen.errors += (0.5 - seen.errors) * ERROR_WEIGHT;
-                seen.stalled = None;
-                seen.shut = SHUT_MIN;
+                seen.prove();
             }
             Sign::Failed => seen.errors += (1.0 - seen.errors) * ERROR_WEIGHT,
             Sign::Cut => {
                 seen.errors += (1.0 - seen.errors) * ERROR_WEIGHT;
-                seen.shut_until = now + CUT;
+                seen.closed_until = now + CUT;
             }
             Sign::Unreachable => {
-                seen.shut_until = now + seen.shut;
-                seen.shut = (seen.shut * 2).min(SHUT_MAX);
+                seen.unreachable = true;
+                seen.stall(UNREACHABLE_MIN, now);
             }
             Sign::Misdirected | Sign::Dropped => {}
         }
@@ -317,7 +379,14 @@
         self.registry
             .usable(service)
             .filter_map(|(key, _)| self.seen.get(key))
-            .map(|seen| seen.shut_until.max(now))
+            .map(|seen| {
+                if seen.unreachable {
+                    // A probe that is due has no result yet.
+                    seen.probe_at.max(now + PROBE_TIME)
+                } else {
+                    seen.closed_until.max(now)
+                }
+            })
             .min()
     }
 }
