Wait for room at busy targets, and soak links through a loopback proxy

Change: pauses are no legs; a query that has run waits for room until its deadline, at 10 ms while in time and at 60 ms once late; a request that found no room at all is refused after a quarter of its objective. Tests: two of the fan-out, of which the early refusal failed before.

--- a/src/request/fanout.rs
+++ b/src/request/fanout.rs
@@ -23,8 +23,13 @@
 pub const REPLY_MARGIN: Duration = Duration::from_millis(26);
 /// Legs of one shard at most, counting those that were refused.
 pub const LEGS_MAX: usize = 6;
-/// The first pause before a refused leg is sent to a target that has refused it already.
-const PAUSE_MIN: Duration = Duration::from_millis(10);
+/// The pause of a shard whose targets are all busy or have refused it.
+const PAUSE: Duration = Duration::from_millis(10);
+/// The same once the request is late, so that it takes room that requests in time leave.
+const PAUSE_LATE: Duration = Duration::from_millis(60);
+/// The part of the latency objective for which a request waits for room before its first leg. Another node
+/// may have room, and its caller still has time to go there.
+const ROOM_SHARE: u32 = 4;
 /// When a hedge for which there was no budget or no target is tried again.
 const HEDGE_AGAIN: Duration = Duration::from_millis(40);
 /// When a caller should come back to a service that has no target. Targets that register again do so
@@ -317,11 +322,16 @@
         match placement.reopens(&service, now) {
             // All targets are busy or have refused; they may have room a little later.
             Some(moment) if moment <= now => {
+                let first = self.legs.is_empty();
+                let patience = self.plan.route.objective / ROOM_SHARE;
+                if first && now + PAUSE > self.plan.sent + patience {
+                    self.fail(at, Reason::Shed);
+                    return;
+                }
                 let shard = &mut self.shards[at];
                 shard.tried.clear();
-                shard.legs += 1;
-                let rounds = u32::try_from(shard.legs).unwrap_or(u32::MAX).min(6);
-                shard.retry_at = now + PAUSE_MIN * (1 << rounds) / 2;
+                let late = now >= self.plan.sent + self.plan.route.objective;
+                shard.retry_at = now + if late { PAUSE_LATE } else { PAUSE };
             }
             _ => self.fail(at, Reason::NoTarget),
         }
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod members;
 pub mod platform;
 pub mod process;
+pub mod proxy;
 pub mod spec;
 pub mod store;
 pub mod target;
--- a/standins/src/platform/leaf.rs
+++ b/standins/src/platform/leaf.rs
@@ -74,6 +74,8 @@
 pub struct Leaf {
     spec: Spec,
     address: SocketAddr,
+    /// What its entry says.
+    advertised: SocketAddr,
     shared: Arc<Shared>,
     stop: CancellationToken,
 }
@@ -132,6 +134,7 @@
         Ok(Self {
             spec,
             address,
+            advertised: address,
             shared,
             stop,
         })
@@ -142,6 +145,11 @@
         self.address
     }
 
+    /// Lets the target's entry name another address, such as that of a proxy.
+    pub fn advertise(&mut self, address: SocketAddr) {
+        self.advertised = address;
+    }
+
     /// Sets how requests are treated from now on.
     pub fn set(&self, manner: Manner) {
         *lock(&self.shared.manner) = manner;
@@ -172,7 +180,7 @@
     pub fn entry(&self, state: &str) -> (String, Vec<u8>) {
         let entry = json!({
             "service": self.spec.service,
-            "address": self.address.to_string(),
+            "address": self.advertised.to_string(),
             "zone": self.spec.zone,
             "version": "v1",
             "capacity": 2,
--- a/tests/fanout.rs
+++ b/tests/fanout.rs
@@ -11,7 +11,7 @@
 use hyper::StatusCode;
 use hyper::header::{HeaderMap, HeaderValue};
 use redwinggrade::process::budget::Bound;
-use redwinggrade::process::placement::Placement;
+use redwinggrade::process::placement::{Placement, Sign};
 use redwinggrade::process::registry::TargetKey;
 use redwinggrade::request::fanout::{Action, Event, Fanout, Plan, REPLY_MARGIN};
 use redwinggrade::request::reply::{Answer, Cause, Outcome, Reason, Verdict};
@@ -310,3 +310,68 @@
     run.start().end(0, failed(), at(5));
     assert!(matches!(&run.verdict, Some(Verdict::Single(answer)) if answer.status == 500));
 }
+
+/// Takes all room at the targets of a service.
+fn fill(placement: &mut Placement, service: &str) -> Vec<TargetKey> {
+    let table = table(route(Kind::Idempotent, 2, one()), 2, None);
+    let mut taken = Vec::new();
+    while let Some(key) = placement.pick(&table, service, &[], EXPECTED, at(0)) {
+        taken.push(key);
+    }
+    taken
+}
+
+/// Lets the request have its ticks until the moment.
+fn pass(run: &mut Run, until: Moment) {
+    while run.verdict.is_none() && run.fanout.wake() <= until {
+        let now = run.fanout.wake();
+        run.step(Event::Tick, now);
+    }
+}
+
+/// A node that has just started has one connection to each target, and all callers come at once.
+#[test]
+fn a_shard_without_room_is_waited_for_once_other_shards_have_run() {
+    let mut run = Run::open(Kind::Idempotent, gather(2, 1.0), 2, pairs(2));
+    let taken = fill(&mut run.placement, "s1");
+    run.start().end(0, done(1), at(20));
+    pass(&mut run, at(900));
+    assert_eq!(run.verdict, None);
+    let sign = Sign::Answered {
+        took: EXPECTED,
+        expected: EXPECTED,
+    };
+    run.placement.observe(taken[0], sign, at(900));
+    pass(&mut run, at(1_000));
+    assert_eq!(
+        run.sent.len(),
+        2,
+        "the room is used within a tenth of a second"
+    );
+    run.end(1, done(2), at(1_020));
+    assert!(matches!(
+        run.verdict,
+        Some(Verdict::Merged { missing: 0, .. })
+    ));
+}
+
+#[rstest]
+#[case::one(one(), 1)]
+#[case::gather(gather(2, 1.0), 2)]
+fn a_request_that_finds_no_room_at_all_is_refused_early(
+    #[case] destination: Destination,
+    #[case] services: usize,
+) {
+    let mut run = Run::open(Kind::Idempotent, destination, services, pairs(2));
+    for service in ["s0", "s1"] {
+        fill(&mut run.placement, service);
+    }
+    let objective = route(Kind::Idempotent, 2, one()).objective;
+    run.start();
+    pass(&mut run, at(0) + objective / 4);
+    assert!(
+        matches!(run.verdict, Some(Verdict::Refused { .. })),
+        "{:?}",
+        run.verdict
+    );
+}
