--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -1,5 +1,6 @@
 //! The actor that applies what the store and other nodes say.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -87,9 +88,22 @@
     behind: Option<Behind>,
     pulling: bool,
     pulled: Moment,
+    /// The members as they were logged last.
+    logged: Members,
     rounds: u32,
 }
 
+/// Who does what, as this node sees it.
+#[derive(Default)]
+struct Members {
+    /// Whether this node serves callers.
+    serves: bool,
+    /// Whether this node watches the store.
+    watches: bool,
+    /// The other nodes that serve callers.
+    serving: BTreeSet<String>,
+}
+
 /// What another node knows and this one lacks.
 struct Behind {
     since: Moment,
@@ -145,6 +159,7 @@
             behind: None,
             pulling: false,
             pulled: Moment::ZERO,
+            logged: Members::default(),
             rounds: 0,
         })
     }
@@ -403,6 +418,7 @@
         let node = &self.shared.config.node;
         self.shared.roster().elect(node, now);
         self.watch();
+        self.log_members(now);
         self.share();
         self.pulse(self.rounds);
         self.shared.roster().expire(now);
@@ -467,6 +483,32 @@
         self.follow.watch(known.filter(|_| watches));
     }
 
+    /// Logs what has changed in the node's view of who serves callers and who watches the store.
+    fn log_members(&mut self, now: Moment) {
+        let roster = self.shared.roster();
+        let members = Members {
+            serves: roster.serves(),
+            watches: roster.watches(),
+            serving: roster.names(now).map(str::to_owned).collect(),
+        };
+        drop(roster);
+        let before = std::mem::replace(&mut self.logged, members);
+        let Members {
+            serves,
+            watches,
+            serving,
+        } = &self.logged;
+        if (before.serves, before.watches) != (*serves, *watches) {
+            log::info!(serves, watches; "duties changed");
+        }
+        for name in serving.difference(&before.serving) {
+            log::info!(name, serving = serving.len(); "node serves");
+        }
+        for name in before.serving.difference(serving) {
+            log::info!(name, serving = serving.len(); "node gone");
+        }
+    }
+
     /// Asks another node for what this one lacks, and starts the watches again if they should have
     /// brought it.
     fn catch_up(&mut self, myself: &ActorRef<Message>, now: Moment) {
--- a/src/process/entry/report.rs
+++ b/src/process/entry/report.rs
@@ -29,6 +29,8 @@
     legs: usize,
     extra: Extra,
     missing: Vec<String>,
+    /// Why services are missing.
+    causes: String,
     ended: bool,
 }
 
@@ -54,6 +56,7 @@
             legs: 0,
             extra: Extra::default(),
             missing: Vec::new(),
+            causes: String::new(),
             ended: false,
         }
     }
@@ -64,6 +67,11 @@
         self.extra = fanout.extra();
         let missing = fanout.missing().take(Self::MISSING_MAX);
         self.missing = missing.map(str::to_owned).collect();
+        let causes = fanout.causes().into_iter();
+        let causes: Vec<String> = causes
+            .map(|(cause, count)| format!("{cause}:{count}"))
+            .collect();
+        self.causes = causes.join(",");
     }
 
     pub(super) fn end(&mut self, verdict: &Verdict) {
@@ -108,6 +116,7 @@
             objective_ms = route.map(|route| millis(route.objective)),
             route = route.map_or("", |route| &*route.name), version = self.version,
             answered = self.answered, shards = self.shards, missing = self.missing.join(","),
+            causes = self.causes,
             legs = self.legs, hedges = self.extra.hedges, retries = self.extra.retries,
             retry_after_ms = retry_after;
             "request ended"
--- a/src/request/fanout.rs
+++ b/src/request/fanout.rs
@@ -3,6 +3,7 @@
 //! A request for a single target is a fan-out to one service. The decisions use no clock and no socket;
 //! `docs/decisions/008-platform.md` gives the reasons.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -218,6 +219,22 @@
         open.map(|shard| &*shard.service)
     }
 
+    /// Returns why services have no answer, with the number of services for each cause.
+    pub fn causes(&self) -> BTreeMap<String, usize> {
+        let mut causes = BTreeMap::new();
+        for shard in &self.shards {
+            let cause = match &shard.progress {
+                Progress::Answered(_) => continue,
+                Progress::Pending if shard.open > 0 => "waiting".to_owned(),
+                Progress::Pending => "no_room".to_owned(),
+                Progress::Failed(Failure::Answer(answer)) => answer.status.as_u16().to_string(),
+                Progress::Failed(Failure::Reason(reason)) => reason.to_string(),
+            };
+            *causes.entry(cause).or_default() += 1;
+        }
+        causes
+    }
+
     /// Returns when the request needs a [`Event::Tick`].
     pub fn wake(&self) -> Moment {
         let shards = self
