Judge overload of wide queries by several of them, and hedge them sooner

A window holds the legs of six queries now (120 legs for 20 shards, as before). Test: single_slow_queries_over_many_shards_limit_nothing fails with the old window.

--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -148,6 +148,11 @@
     /// Legs after which gathers hedge, as one in this number. A query over twenty shards is late if one
     /// leg is, and the budget bears a leg in six.
     const GATHER_ABOVE: u16 = 10;
+    /// The same for queries over [`Self::WIDE`] shards or more, nearly all of which met a slow leg: with one
+    /// leg in ten, hedges left so late that half of the queries took three quarters of their objective.
+    const WIDE_ABOVE: u16 = 5;
+    /// Shards from which a query is wide.
+    const WIDE: usize = 40;
     /// The same for requests to one target.
     const SINGLE_ABOVE: u16 = 20;
     /// The weight of one latency in the mean, as one in this number.
@@ -158,10 +163,10 @@
     const HEDGE_MIN: Duration = Duration::from_millis(8);
 
     fn new(route: &Route, shards: usize) -> Self {
-        let above = if shards > 1 {
-            Self::GATHER_ABOVE
-        } else {
-            Self::SINGLE_ABOVE
+        let above = match shards {
+            0..=1 => Self::SINGLE_ABOVE,
+            2..Self::WIDE => Self::GATHER_ABOVE,
+            _ => Self::WIDE_ABOVE,
         };
         Self {
             mean: route.objective / 6,
@@ -387,10 +392,10 @@
         let usual = estimate.usual;
         drop(estimates);
         if let Destination::All(gather) = &route.destination
-            && let Some(first) = gather.shards.first()
+            && !gather.shards.is_empty()
         {
             let ratio = took.as_secs_f64() / usual.as_secs_f64().max(0.001);
-            self.admission(first, now, |admission| admission.record(ratio, now));
+            self.admission(&gather.shards, now, |it| it.record(ratio, now));
         }
     }
 
@@ -399,15 +404,15 @@
     fn admit(&self, route: &Route, now: Moment) -> (bool, bool) {
         match &route.destination {
             Destination::One(_) => (true, false),
-            Destination::All(gather) => gather.shards.first().map_or((true, false), |first| {
-                self.admission(first, now, |admission| {
-                    (admission.begin(now), admission.is_strained())
-                })
+            Destination::All(gather) if gather.shards.is_empty() => (true, false),
+            Destination::All(gather) => self.admission(&gather.shards, now, |admission| {
+                (admission.begin(now), admission.is_strained())
             }),
         }
     }
 
-    fn admission<F, T>(&self, first: &Arc<str>, now: Moment, act: F) -> T
+    /// Lets the admission of a destination, of one shard at least, act.
+    fn admission<F, T>(&self, shards: &[Arc<str>], now: Moment, act: F) -> T
     where
         F: FnOnce(&mut Admission) -> T,
     {
@@ -421,8 +426,8 @@
             admissions.clear();
         }
         let admission = admissions
-            .entry(Arc::clone(first))
-            .or_insert_with(|| Admission::open(now));
+            .entry(Arc::clone(&shards[0]))
+            .or_insert_with(|| Admission::open(now, shards.len()));
         act(admission)
     }
 }
--- a/src/request/admission.rs
+++ b/src/request/admission.rs
@@ -14,9 +14,11 @@
 
 /// The span over which the median is taken.
 pub const WINDOW: Duration = Duration::from_millis(200);
-/// Legs in a window at least. The legs of one query share its work and its moment, so a window needs
-/// those of several.
-const LEGS_MIN: usize = 120;
+/// Queries whose legs make a window, at least. The legs of one query share its work and its moment, so a
+/// window needs those of several.
+const QUERIES_MIN: usize = 6;
+/// The span after which a window ends also without them.
+const WINDOW_MAX: Duration = Duration::from_secs(1);
 /// A median above this multiple of the usual one means overload. At two thirds of the capacity the mean
 /// wait of a target with two slots equals its work.
 const OVERLOAD: f64 = 2.0;
@@ -45,6 +47,8 @@
     refilled: Moment,
     refused: Moment,
     window: Moment,
+    /// The legs of one query.
+    shards: usize,
     begun: u32,
     /// Leg times in proportion to what their routes expect when nothing waits.
     times: Vec<f32>,
@@ -55,14 +59,15 @@
 }
 
 impl Admission {
-    /// Opens an admission without a limit.
-    pub const fn open(now: Moment) -> Self {
+    /// Opens an admission without a limit, for queries over a number of shards.
+    pub const fn open(now: Moment, shards: usize) -> Self {
         Self {
             rate: None,
             tokens: 0.0,
             refilled: now,
             refused: now,
             window: now,
+            shards,
             begun: 0,
             times: Vec::new(),
             usual: None,
@@ -116,21 +121,23 @@
         if length < WINDOW {
             return;
         }
-        if self.times.len() >= LEGS_MIN {
+        let queries = self.times.len() / self.shards.max(1);
+        let overdue = length >= WINDOW_MAX;
+        // While few queries may begin, few must do.
+        if queries >= QUERIES_MIN || (overdue && self.rate.is_some() && queries > 0) {
             let middle = self.times.len() / 2;
             let (_, median, _) = self.times.select_nth_unstable_by(middle, f32::total_cmp);
             let median = f64::from(*median);
             self.adapt(median, length, now);
-            self.times.clear();
-            self.begun = 0;
-            self.window = now;
-        } else if length >= WINDOW * 5 {
-            // Too few legs for long: the targets have nothing to do, or are all silent.
+        } else if overdue {
+            // The targets have nothing to do, or are all silent.
             self.rate = self.rate.map(|rate| rate * INCREASE);
-            self.times.clear();
-            self.begun = 0;
-            self.window = now;
+        } else {
+            return;
         }
+        self.times.clear();
+        self.begun = 0;
+        self.window = now;
     }
 
     fn adapt(&mut self, median: f64, length: Duration, now: Moment) {
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -33,7 +33,9 @@
 /// Plays `seconds` of traffic whose rate is a multiple of the usual one.
 fn play(with_admission: bool, factor: impl Fn(u64) -> f64, seconds: u64) -> Vec<Tally> {
     let mut random = Pcg32::seed_from_u64(5);
-    let mut nodes: Vec<Admission> = (0..NODES).map(|_| Admission::open(Moment::ZERO)).collect();
+    let mut nodes: Vec<Admission> = (0..NODES)
+        .map(|_| Admission::open(Moment::ZERO, SHARDS))
+        .collect();
     // When each slot of each shard is free, and the ends of waiting work.
     let mut slots = vec![vec![0_u64; SLOTS]; SHARDS];
     let mut waiting: Vec<Vec<u64>> = vec![Vec::new(); SHARDS];
@@ -130,7 +132,7 @@
 #[case::most_legs_a_little_slower(0.9, 1.7)]
 fn troubles_of_some_targets_limit_nothing(#[case] share: f64, #[case] slower: f64) {
     let mut random = Pcg32::seed_from_u64(9);
-    let mut admission = Admission::open(Moment::ZERO);
+    let mut admission = Admission::open(Moment::ZERO, SHARDS);
     for step in 0..20_000_u64 {
         let now = Moment::from_millis(step * 2);
         let troubled = step > 5_000 && random.random::<f64>() < share;
@@ -143,7 +145,7 @@
 
 #[test]
 fn targets_that_stay_slower_become_the_usual() {
-    let mut admission = Admission::open(Moment::ZERO);
+    let mut admission = Admission::open(Moment::ZERO, SHARDS);
     let mut refused = 0;
     for step in 0..120_000_u64 {
         let now = Moment::from_millis(step * 2);
@@ -158,3 +160,26 @@
     assert_eq!(refused, 0);
     assert_eq!(admission.rate(), None);
 }
+
+/// A query over many shards is a whole window's worth of legs by itself, and all of them share the load of
+/// its node at its moment.
+#[test]
+fn single_slow_queries_over_many_shards_limit_nothing() {
+    const MANY: usize = 90;
+    let mut random = Pcg32::seed_from_u64(11);
+    let mut admission = Admission::open(Moment::ZERO, MANY);
+    for query in 0..240_u64 {
+        let now = Moment::from_millis(query * 250);
+        assert!(admission.begin(now), "query {query} is refused");
+        // One query in four finds its node or the targets busy.
+        let slower = if random.random_range(0..4) == 0 {
+            3.0
+        } else {
+            1.0
+        };
+        for leg in 0..MANY as u64 {
+            let ratio = slower * (0.7 + 0.6 * random.random::<f64>());
+            admission.record(ratio, Moment::from_millis(query * 250 + leg));
+        }
+    }
+}
