--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -474,6 +474,7 @@
 
     /// Begins or ends to watch the store, as the roster says.
     fn watch(&mut self) {
+        self.follow.serve(self.shared.roster().serves());
         let watches = self.is_watching();
         self.watched &= watches;
         let mirrors = self.shared.mirrors();
--- a/src/process/follow.rs
+++ b/src/process/follow.rs
@@ -33,10 +33,13 @@
 pub const START: Duration = Duration::from_secs(8);
 /// The time without changes after which a series is over.
 pub const SERIES: Duration = Duration::from_secs(1);
-/// The lifetime of the lease under which a node publishes itself.
-pub const LEASE: Duration = Duration::from_secs(6);
-/// The period of the lease's renewals.
+/// The lifetime of the lease under which a node publishes itself. A record that outlives its node only costs
+/// datagrams to it.
+pub const LEASE: Duration = Duration::from_secs(15);
+/// The period of the lease's renewals, by which a node that serves callers finds out whether the store answers.
 pub const RENEW: Duration = Duration::from_millis(1_500);
+/// The same for a node that serves no callers; each renewal is paid for.
+pub const RENEW_RESTING: Duration = Duration::from_secs(5);
 /// The time within which a call other than a watch must be answered. The store answers within
 /// milliseconds, and within a quarter of a second when it is slow.
 pub const CALL: Duration = Duration::from_secs(1);
@@ -93,6 +96,8 @@
     answers: AtomicBool,
     failures: AtomicU32,
     stopping: AtomicBool,
+    /// Whether this node serves callers.
+    serving: AtomicBool,
     /// Whether this node watches the store; the first election decides it.
     watching: AtomicBool,
     /// Every change up to this revision has come from another node.
@@ -121,6 +126,7 @@
             answers: AtomicBool::new(true),
             failures: AtomicU32::new(0),
             stopping: AtomicBool::new(false),
+            serving: AtomicBool::new(true),
             watching: AtomicBool::new(false),
             known: AtomicU64::new(0),
             changed: Notify::new(),
@@ -159,6 +165,14 @@
         }
     }
 
+    /// Tells whether this node serves callers, and so has to know soon whether the store answers.
+    pub fn serve(&self, serves: bool) {
+        let before = self.link.serving.swap(serves, Ordering::AcqRel);
+        if serves && !before {
+            self.link.renew.notify_one();
+        }
+    }
+
     /// Ends the node's lease.
     pub fn leave(&self) {
         self.link.stopping.store(true, Ordering::Release);
@@ -408,7 +422,11 @@
             Ok(held) => {
                 lease = Some(held);
                 link.succeed(&notify);
-                RENEW
+                if link.serving.load(Ordering::Acquire) {
+                    RENEW
+                } else {
+                    RENEW_RESTING
+                }
             }
             Err(Error::NoLease) => {
                 lease = None;
