Close connections whose head does not end within the operators' limit

Change: connection::head notes when bytes of a head begin and bounds the time to its end; heads that come whole start no timer.

--- a/src/connection/caller.rs
+++ b/src/connection/caller.rs
@@ -28,6 +28,7 @@
 /// Callers keep their connections between requests, so many of them are idle.
 const LIMITS: Limits = Limits {
     idle: Duration::from_secs(30),
+    head: Duration::from_secs(30),
     head_bytes: HEAD_BYTES,
     connections: 10_000,
 };
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -3,6 +3,7 @@
 pub mod admin;
 pub mod caller;
 pub mod exchange;
+pub mod head;
 pub mod keyspace;
 pub mod members;
 pub mod operator;
--- a/src/connection/operator.rs
+++ b/src/connection/operator.rs
@@ -15,6 +15,7 @@
 /// A few tools ask a node at a time.
 const LIMITS: Limits = Limits {
     idle: Duration::from_secs(10),
+    head: Duration::from_secs(10),
     head_bytes: HEAD_BYTES,
     connections: 100,
 };
--- a/src/connection/server.rs
+++ b/src/connection/server.rs
@@ -17,6 +17,8 @@
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
+use super::head;
+
 /// The wait after a connection could not be accepted, for example for want of file descriptors;
 /// accepting again at once would only spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
@@ -30,8 +32,10 @@
 /// What bounds a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
-    /// The time within which the next request must come and its head be complete.
+    /// The time within which the next request must come.
     pub idle: Duration,
+    /// The time from the first byte of a head to its last one.
+    pub head: Duration,
     /// Bytes of the request line and the headers.
     pub head_bytes: usize,
     /// Connections at once; more are closed at once so that memory stays bounded.
@@ -110,9 +114,17 @@
         let _ = stream.set_nodelay(true);
         let limits = limits();
         let answer = answer.clone();
+        let progress = head::Progress::default();
+        let stream = head::Stream::open(stream, progress.clone());
+        let served = progress.clone();
         let service = service_fn(move |request| {
-            let response = answer(request);
-            async move { Ok::<_, Infallible>(response.await) }
+            served.serve();
+            let (served, response) = (served.clone(), answer(request));
+            async move {
+                let response = response.await;
+                served.rest();
+                Ok::<_, Infallible>(response)
+            }
         });
         let connection = hyper::server::conn::http1::Builder::new()
             .timer(TokioTimer::new())
@@ -122,7 +134,7 @@
         let connection = graceful.watch(connection);
         tokio::spawn(async move {
             // The other side learns of a broken connection by itself.
-            let _ = connection.await;
+            progress.bound(connection, limits.head).await;
             drop(permit);
         });
     }
