--- a/src/connection/head.rs
+++ b/src/connection/head.rs
@@ -15,12 +15,16 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep, sleep_until};
 
-/// What a connection does, in the lowest bits of [`Progress`]; the others count the heads.
+/// The bits of [`Progress`] that tell what a connection does; the others count its heads.
+const STATE: u64 = 0b11;
+/// It rests between requests.
 const RESTS: u64 = 0;
+/// Some bytes of a head have come.
 const READS: u64 = 1;
+/// A head is complete and has no answer yet.
 const SERVES: u64 = 2;
-const STATE: u64 = 3;
-const HEAD: u64 = 4;
+/// One head, in the bits that count them.
+const HEAD: u64 = STATE + 1;
 
 /// How far a connection is with its present request.
 #[derive(Debug, Clone, Default)]
