Let a placement forget what was seen of a target

What was seen of a target that left through the registry (a removed or invalid entry) stayed until its slot was used again; a dead one came up in each round of probes and took one of the 32 places. Test: a_target_that_is_gone_is_not_probed_any_more.

--- a/src/process/placement.rs
+++ b/src/process/placement.rs
@@ -218,15 +218,18 @@
                 Effect::Added(key) => {
                     self.seen.insert(key, Seen::new(now));
                 }
-                Effect::Gone(key) => {
-                    self.seen.remove(key);
-                }
+                Effect::Gone(key) => self.forget(key),
                 Effect::Changed(_) => {}
             }
         }
         effects
     }
 
+    /// Forgets what was seen of a target that the registry has dropped.
+    pub fn forget(&mut self, key: TargetKey) {
+        self.seen.remove(key);
+    }
+
     /// Returns this node's share of the connections to one target of a service.
     pub fn connections(&self, table: &Table, service: &str) -> u32 {
         let most = table
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -7,7 +7,7 @@
     table,
 };
 use redwinggrade::process::placement::{Placement, Sign};
-use redwinggrade::process::registry::TargetKey;
+use redwinggrade::process::registry::{Effect, TargetKey};
 use redwinggrade::time::Moment;
 use redwinggrade::version::change::Report;
 use redwinggrade::version::route::{Kind, Table};
@@ -213,3 +213,16 @@
         "it is warm"
     );
 }
+
+#[test]
+fn a_target_that_is_gone_is_not_probed_any_more() {
+    let mut placement = placement(ROOMY);
+    let key = add(&mut placement, "t1", report("s0", HOME, 1), at(0));
+    placement.overdue(key, at(0));
+    assert_eq!(
+        placement.registry.remove("t1", at(1)),
+        Some(Effect::Gone(key))
+    );
+    placement.forget(key);
+    assert!(placement.probes(at(10_000)).is_empty());
+}
