--- a/src/connection/exchange.rs
+++ b/src/connection/exchange.rs
@@ -13,11 +13,10 @@
 use hyper_util::rt::TokioIo;
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
-use tokio::net::TcpStream;
 use tokio_util::task::AbortOnDropHandle;
 
 use super::keyspace::Revision;
-use super::outbound::tune;
+use super::outbound::connect;
 use crate::process::mirror::Copy;
 
 /// The path of the copies.
@@ -46,8 +45,7 @@
 }
 
 async fn exchange(from: SocketAddr, after: &[Revision]) -> anyhow::Result<Update> {
-    let stream = TcpStream::connect(from).await?;
-    tune(&stream);
+    let stream = connect(from).await?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     let _connection = AbortOnDropHandle::new(tokio::spawn(connection));
     let after: Vec<String> = after.iter().map(Revision::to_string).collect();
--- a/src/connection/outbound.rs
+++ b/src/connection/outbound.rs
@@ -23,6 +23,7 @@
 use slotmap::SecondaryMap;
 use tokio::net::TcpStream;
 
+use super::target::{ANSWER_MAX, HANDOVERS};
 use crate::process::registry::TargetKey;
 use crate::request::reply::{Cause, Outcome};
 use crate::time::{Clock, Moment};
@@ -33,8 +34,6 @@
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// How long sent bytes may stay unacknowledged before the connection counts as dead.
 pub const UNACKNOWLEDGED: Duration = Duration::from_secs(2);
-/// The longest answer of a target, in bytes; it bounds the memory that one leg can take.
-pub const ANSWER_MAX: usize = 1 << 20;
 /// How long an idle connection is kept if the target does not say.
 const KEEP_DEFAULT: Duration = Duration::from_secs(4);
 /// How long a second idle connection to the same target is kept. Connections of a node that loses power
@@ -43,9 +42,6 @@
 /// How much sooner than the target says a connection is given up: a request that crosses the target's
 /// close is lost.
 const KEEP_MARGIN: Duration = Duration::from_millis(700);
-/// Handovers between call and connection per run of their task: an answer takes three, for its
-/// head, its body and its end.
-const HANDOVERS: usize = 3;
 /// The longest head of an answer, in bytes; the buffer of a connection grows up to it only when needed.
 const HEAD_MAX: usize = 64 << 10;
 
@@ -265,9 +261,7 @@
 
 impl Wire {
     async fn open(address: SocketAddr) -> std::io::Result<Self> {
-        let connect = TcpStream::connect(address);
-        let stream = tokio::time::timeout(CONNECT_TIMEOUT, connect).await??;
-        tune(&stream);
+        let stream = tokio::time::timeout(CONNECT_TIMEOUT, connect(address)).await??;
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(HEAD_MAX)
             .handshake(TokioIo::new(stream))
@@ -332,10 +326,12 @@
     .await
 }
 
-/// Sets the options of every connection between processes.
-pub fn tune(stream: &TcpStream) {
+/// Opens a connection to another process, with the options that all of them have.
+pub async fn connect(address: SocketAddr) -> std::io::Result<TcpStream> {
+    let stream = TcpStream::connect(address).await?;
     // Without these options connections are slower, or their death is noticed later.
     let _ = stream.set_nodelay(true);
     let millis = u32::try_from(UNACKNOWLEDGED.as_millis()).unwrap_or(u32::MAX);
-    let _ = sockopt::set_tcp_user_timeout(stream, millis);
+    let _ = sockopt::set_tcp_user_timeout(&stream, millis);
+    Ok(stream)
 }
--- a/src/connection/target.rs
+++ b/src/connection/target.rs
@@ -37,7 +37,7 @@
 
 /// Handovers between call and connection per run of their task: an answer takes three, for its
 /// head, its body and its end.
-const HANDOVERS: usize = 3;
+pub(super) const HANDOVERS: usize = 3;
 
 /// Read buffer of one connection, in bytes; usual answers fit, and many connections stay open.
 const READ_BUFFER: usize = 16 << 10;
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -342,33 +342,28 @@
     }
 
     fn placement(&self) -> MutexGuard<'_, Placement> {
-        self.placement
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+        lock(&self.placement)
     }
 
     fn lag(&self) -> MutexGuard<'_, Lag> {
-        self.lag.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.lag)
     }
 
     fn roster(&self) -> MutexGuard<'_, Roster> {
-        self.roster.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.roster)
     }
 
     fn lines(&self) -> MutexGuard<'_, Lines> {
-        self.lines.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.lines)
     }
 
     fn mirrors(&self) -> MutexGuard<'_, Vec<Mirror>> {
-        self.mirrors.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.mirrors)
     }
 
     /// Returns how long a leg of the route usually takes, and when it is hedged.
     fn expect(&self, route: &Route, shards: usize) -> (Duration, Duration) {
-        let mut estimates = self
-            .estimates
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+        let mut estimates = lock(&self.estimates);
         let estimate = estimates
             .entry(Arc::clone(&route.name))
             .or_insert_with(|| Estimate::new(route, shards));
@@ -381,10 +376,7 @@
 
     /// Records how long a leg of the route took.
     fn record(&self, route: &Route, took: Duration, now: Moment) {
-        let mut estimates = self
-            .estimates
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+        let mut estimates = lock(&self.estimates);
         let Some(estimate) = estimates.get_mut(&route.name) else {
             return;
         };
@@ -418,10 +410,7 @@
     {
         /// Destinations that are remembered; older versions' shards are forgotten together.
         const DESTINATIONS_MAX: usize = 64;
-        let mut admissions = self
-            .admissions
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+        let mut admissions = lock(&self.admissions);
         if admissions.len() >= DESTINATIONS_MAX {
             admissions.clear();
         }
@@ -432,6 +421,11 @@
     }
 }
 
+/// Locks what requests share; a panic elsewhere leaves it usable.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Returns the address for datagrams of a node on the host; the port is the same on all instances.
 const fn pulse_of(host: IpAddr, own: SocketAddr) -> SocketAddr {
     SocketAddr::new(host, own.port())
--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -7,6 +7,7 @@
 
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 
+use super::report::millis;
 use super::{Shared, pulse_of};
 use crate::connection::exchange::{self, Update};
 use crate::connection::keyspace::{Age, Keyspace, Revision};
@@ -88,8 +89,8 @@
     behind: Option<Behind>,
     pulling: bool,
     pulled: Moment,
-    /// The members as they were logged last.
-    logged: Members,
+    /// The members as of the last tick.
+    members: Members,
     rounds: u32,
 }
 
@@ -159,7 +160,7 @@
             behind: None,
             pulling: false,
             pulled: Moment::ZERO,
-            logged: Members::default(),
+            members: Members::default(),
             rounds: 0,
         })
     }
@@ -339,15 +340,16 @@
 
     fn effect(&self, effect: Effect) {
         if let Effect::Gone(key) = effect {
+            self.shared.placement().forget(key);
             self.shared.pool.forget(key);
         }
     }
 
     /// Tells the bounds which nodes share them.
-    fn share(&self) {
-        let now = self.shared.clock.now();
-        let mut names: Vec<String> = self.shared.roster().names(now).map(str::to_owned).collect();
-        names.push(self.shared.config.node.name.clone());
+    fn share(&self, now: Moment) {
+        let own = &self.shared.config.node.name;
+        let names = self.members.serving.iter().chain([own]);
+        let names: Vec<String> = names.cloned().collect();
         let settled = now.since(Moment::ZERO) >= SETTLED;
         self.shared.placement().share(&names, settled);
     }
@@ -418,8 +420,8 @@
         let node = &self.shared.config.node;
         self.shared.roster().elect(node, now);
         self.watch();
-        self.log_members(now);
-        self.share();
+        self.observe_members(now);
+        self.share(now);
         self.pulse(self.rounds);
         self.shared.roster().expire(now);
         self.shared.pool.expire(now);
@@ -453,7 +455,7 @@
                 shared.placement().probed(key, reached);
                 shared.meters.probe(reached);
                 if shared.lines().legs.admit(shared.clock.now()) {
-                    let silent_ms = silent.map(|it| it.as_secs_f64() * 1_000.0);
+                    let silent_ms = silent.map(millis);
                     log::info!(target_name:% = name, reached, silent_ms; "target probed");
                 }
             });
@@ -484,8 +486,8 @@
         self.follow.watch(known.filter(|_| watches));
     }
 
-    /// Logs what has changed in the node's view of who serves callers and who watches the store.
-    fn log_members(&mut self, now: Moment) {
+    /// Notes who serves callers and who watches the store, and logs what has changed.
+    fn observe_members(&mut self, now: Moment) {
         let roster = self.shared.roster();
         let members = Members {
             serves: roster.serves(),
@@ -493,12 +495,12 @@
             serving: roster.names(now).map(str::to_owned).collect(),
         };
         drop(roster);
-        let before = std::mem::replace(&mut self.logged, members);
+        let before = std::mem::replace(&mut self.members, members);
         let Members {
             serves,
             watches,
             serving,
-        } = &self.logged;
+        } = &self.members;
         if (before.serves, before.watches) != (*serves, *watches) {
             log::info!(serves, watches; "duties changed");
         }
--- a/src/process/roster.rs
+++ b/src/process/roster.rs
@@ -164,24 +164,25 @@
             }
             let front = serving < FRONT_MIN || power < FRONT_MILLICORES;
             let silence = self.silence(&data_centre, now);
-            match self.nodes.get_mut(&name) {
+            let serves = match self.nodes.get_mut(&name) {
                 Some(known) if front => {
                     known.front.get_or_insert(now);
-                    if known.may_serve(silence, now) {
-                        serving += 1;
-                        power += millicores;
-                    }
                     watched |= known.fresh && is_alive(known, now);
+                    known.may_serve(silence, now)
+                }
+                Some(known) => {
+                    known.front = None;
+                    false
                 }
-                Some(known) => known.front = None,
                 None => {
                     self.front = front.then(|| self.front.unwrap_or(now));
                     self.watches = front && !watched;
-                    if front {
-                        serving += 1;
-                        power += millicores;
-                    }
+                    front
                 }
+            };
+            if serves {
+                serving += 1;
+                power += millicores;
             }
         }
     }
--- a/src/version/route.rs
+++ b/src/version/route.rs
@@ -163,9 +163,4 @@
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.get(name)
     }
-
-    /// Returns all routes, in no order.
-    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
-        self.hosts.values().flatten()
-    }
 }
