Reject late copies, endless bytes, stale confirmations and malformed durations; stagger the start

Causes, each shown by a test that failed on: - An answer without an id on a reused connection went to the next caller (never_returns_second_copy_of_previous_answer: the second of two requests got the answer of the first; a copied 421 became a refusal, 503). An answer without an id now counts only as the first one on its connection, 421 included, and a repeated request gets a connection that has not carried it. Ruled out: copies with another id (rejected before), bytes with the end of the body. - Interim responses without end were read until the deadline (34.5 MB in one answer). Each exchange may read 4.1 MiB, bodies that are being received 16 MiB together; idle connections with unexpected bytes are closed within a heartbeat round. Confirmations now come only from answers and heartbeats, dated back by the measured lag; the time that a peer states counts from the request; the clock counts suspensions (CLOCK_BOOTTIME). - A duration that no type can hold in the settings document ended the control actor by a panic, and the process went on with old settings (mutated_settings_document_does_no_harm). The test restarted_node_does_not_use_withdrawn_route_of_stale_node passed before as well (the race was not hit). - The heartbeat time-out of standby nodes was exceeded by one lost heartbeat; now by three.

After power was lost everywhere, 295 nodes listed the store at once: 0.7 MB each through its link, so the settings were in force 0.86 s after the start.

--- a/src/connection/outbound.rs
+++ b/src/connection/outbound.rs
@@ -1,19 +1,24 @@
 //! A pool of HTTP/1.1 connections to all targets, for nodes that reach every target directly.
 //!
 //! A connection is driven by the call that uses it and needs no task of its own. It returns to the pool only
-//! after a complete answer that settles the subrequest, be it a success, a failure or a refusal. In all other
-//! cases it is closed, because a late answer on it would otherwise be taken for the answer to the next
-//! request.
+//! after a complete answer that settles the subrequest, be it a success, a failure or a refusal, and if no
+//! bytes followed that answer. In all other cases it is closed, because a late answer on it would otherwise be
+//! taken for the answer to the next request.
+//!
+//! A target may send bytes without end. Each exchange may read [`EXCHANGE_MAX_BYTES`], and all exchanges that
+//! wait for the rest of a body may hold [`BODIES_MAX_BYTES`] together.
 
 use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::http::response;
@@ -22,8 +27,11 @@
 use hyper_util::rt::TokioIo;
 use rustix::net::sockopt;
 use slotmap::SecondaryMap;
+use smallvec::SmallVec;
 use tokio::net::TcpStream;
+use xxhash_rust::xxh3::xxh3_64;
 
+use super::metered::{Allowance, MeteredStream};
 use super::target::{ANSWER_MAX_BYTES, POLL_ROUNDS};
 use crate::process::registry::TargetKey;
 use crate::request::reply::{FailureCause, Outcome};
@@ -46,6 +54,14 @@
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
 /// Maximum head of an answer. The buffer of a connection grows up to this size only when needed.
 const HEAD_MAX_BYTES: usize = 64 << 10;
+/// Maximum number of bytes that one exchange may read. The encoding of a body in chunks may multiply its size,
+/// and interim responses precede the head.
+pub const EXCHANGE_MAX_BYTES: usize = HEAD_MAX_BYTES + 4 * ANSWER_MAX_BYTES;
+/// Maximum size of all bodies that are being received. A query over hundreds of shards could otherwise fill
+/// the memory of a small instance if many targets send bodies without end.
+pub const BODIES_MAX_BYTES: usize = 16 << 20;
+/// The number of requests that a connection remembers, so that a repeated request gets another connection.
+const REMEMBERED_REQUESTS: usize = 4;
 
 /// A caller's request as it is forwarded to each target.
 #[derive(Debug, Clone)]
@@ -97,8 +113,15 @@
         remaining: Duration,
     ) -> Request<Full<Bytes>>;
 
-    /// Returns the result that a complete answer stands for.
-    fn interpret(&self, call: &Call, head: &response::Parts, body: Bytes) -> CallResult;
+    /// Returns the result that a complete answer stands for. `reused` tells whether the connection has carried
+    /// an answer before, a second copy of which this one may be.
+    fn interpret(
+        &self,
+        call: &Call,
+        head: &response::Parts,
+        body: Bytes,
+        reused: bool,
+    ) -> CallResult;
 }
 
 /// A pool of idle connections to all targets.
@@ -106,14 +129,22 @@
 pub struct Pool {
     clock: Clock,
     idle: Mutex<SecondaryMap<TargetKey, Vec<Connection>>>,
+    /// The size of the bodies that are being received.
+    bodies: AtomicUsize,
 }
 
+type Driver = http1::Connection<TokioIo<MeteredStream>, Full<Bytes>>;
+
 /// One open connection.
 #[derive(Debug)]
 struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
-    driver: Pin<Box<http1::Connection<TokioIo<TcpStream>, Full<Bytes>>>>,
+    driver: Pin<Box<Driver>>,
+    allowance: Allowance,
     closed: bool,
+    /// Hashes of the ids of the last requests on this connection, the newest last. A second copy of an earlier
+    /// answer to the same request could not be told from the answer to a repeated one.
+    requests: SmallVec<[u64; REMEMBERED_REQUESTS]>,
     /// The connection must not be used after this moment.
     usable_until: Moment,
 }
@@ -124,6 +155,7 @@
         Self {
             clock,
             idle: Mutex::default(),
+            bodies: AtomicUsize::new(0),
         }
     }
 
@@ -132,10 +164,12 @@
         self.lock_idle().remove(key);
     }
 
-    /// Closes the idle connections whose keep-alive time has expired.
-    pub fn close_expired(&self, now: Moment) {
+    /// Closes the idle connections whose keep-alive time has expired, that the target has closed, or on which
+    /// it has sent bytes that belong to no request.
+    pub fn close_unusable(&self, now: Moment) {
         for (_, connections) in self.lock_idle().iter_mut() {
-            connections.retain(|connection| connection.usable_until > now);
+            connections
+                .retain_mut(|connection| connection.usable_until > now && !connection.has_ended());
         }
     }
 
@@ -166,15 +200,19 @@
         P: Protocol,
     {
         let remaining = self.clock.now().until(deadline);
-        let exchange = pin!(self.exchange_with_retry(protocol, call, endpoint, deadline));
+        let sent = AtomicBool::new(false);
+        let exchange = pin!(self.exchange_with_retry(protocol, call, endpoint, deadline, &sent));
         match tokio::time::timeout(remaining, exchange).await {
             Ok(result) => result,
-            // The subrequest counts as lost even if the connection was still being opened.
-            Err(_elapsed) => CallResult::unanswered(Outcome::Lost(FailureCause::Timeout)),
+            Err(_elapsed) if sent.load(Ordering::Relaxed) => {
+                CallResult::unanswered(Outcome::Lost(FailureCause::Timeout))
+            }
+            Err(_elapsed) => CallResult::unanswered(Outcome::NotRun(FailureCause::Unreachable)),
         }
     }
 
-    /// Sends a request to a target and returns the result, without a time limit for the answer.
+    /// Sends a request to a target and returns the result, without a time limit for the answer. Sets `sent`
+    /// before the first byte of the request can have been written.
     ///
     /// If a reused connection ends before the request is written to it, the request goes to another
     /// connection.
@@ -184,15 +222,17 @@
         call: &Call,
         endpoint: &Endpoint,
         deadline: Moment,
+        sent: &AtomicBool,
     ) -> CallResult
     where
         P: Protocol,
     {
+        let request_hash = xxh3_64(call.request_id.as_bytes());
         loop {
             let reused = if endpoint.dedicated {
                 None
             } else {
-                self.take_idle(endpoint.key)
+                self.take_idle(endpoint.key, request_hash)
             };
             let is_new = reused.is_none();
             let mut connection = match reused {
@@ -204,44 +244,49 @@
                     }
                 },
             };
+            let has_carried_answer = !connection.requests.is_empty();
+            connection.remember(request_hash);
             let remaining = self.clock.now().until(deadline);
             let request = protocol.request(call, endpoint, remaining);
-            match connection.send_and_receive(request).await {
+            let error = match connection
+                .send_and_receive(request, sent, &self.bodies)
+                .await
+            {
                 Ok((head, body)) => {
-                    let answer = protocol.interpret(call, &head, body);
+                    let answer = protocol.interpret(call, &head, body, has_carried_answer);
                     if !endpoint.dedicated && !matches!(answer.outcome, Outcome::Lost(_)) {
                         self.put_idle(endpoint.key, connection, answer.keep_alive);
                     }
                     return answer;
                 }
+                Err(e) => e,
+            };
+            let outcome = match error {
                 // The reused connection ended before the request was written; tries another one.
-                Err(ExchangeError::Unsent) if !is_new => {}
-                Err(ExchangeError::Unsent) => {
-                    return CallResult::unanswered(Outcome::NotRun(FailureCause::Unreachable));
+                ExchangeError::Unsent if !is_new => {
+                    sent.store(false, Ordering::Relaxed);
+                    continue;
                 }
-                Err(ExchangeError::Sent) => {
-                    let cause = if is_new {
-                        FailureCause::NewConnectionClosed
-                    } else {
-                        FailureCause::ReusedConnectionClosed
-                    };
-                    return CallResult::unanswered(Outcome::Lost(cause));
-                }
-            }
+                ExchangeError::Unsent => Outcome::NotRun(FailureCause::Unreachable),
+                ExchangeError::Closed if is_new => Outcome::Lost(FailureCause::NewConnectionClosed),
+                ExchangeError::Closed => Outcome::Lost(FailureCause::ReusedConnectionClosed),
+                ExchangeError::TooLarge => Outcome::Lost(FailureCause::TooLarge),
+            };
+            return CallResult::unanswered(outcome);
         }
     }
 
-    fn take_idle(&self, key: TargetKey) -> Option<Connection> {
+    /// Takes an idle connection that has not carried the request before.
+    fn take_idle(&self, key: TargetKey, request_hash: u64) -> Option<Connection> {
         let now = self.clock.now();
         let mut idle = self.lock_idle();
         let connections = idle.get_mut(key)?;
+        connections.retain(|connection| connection.usable_until > now);
         // The most recently used connection is the least likely to have been closed.
-        while let Some(connection) = connections.pop() {
-            if connection.usable_until > now {
-                return Some(connection);
-            }
-        }
-        None
+        let found = connections
+            .iter()
+            .rposition(|connection| !connection.requests.contains(&request_hash))?;
+        Some(connections.remove(found))
     }
 
     fn put_idle(&self, key: TargetKey, mut connection: Connection, keep_alive: Option<Duration>) {
@@ -285,14 +330,18 @@
 enum ExchangeError {
     /// The request was not written.
     Unsent,
-    /// The request was written, so the target may have received it, and no complete answer within the size
-    /// limit arrived.
-    Sent,
+    /// The request was written, so the target may have received it, and the connection ended before the answer
+    /// was complete.
+    Closed,
+    /// The request was written, and the target sent more bytes than an answer may have.
+    TooLarge,
 }
 
 impl Connection {
     async fn open(address: SocketAddr) -> std::io::Result<Self> {
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, connect(address)).await??;
+        let allowance = Allowance::default();
+        let stream = MeteredStream::open(stream, allowance.clone());
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(HEAD_MAX_BYTES)
             .handshake(TokioIo::new(stream))
@@ -301,41 +350,111 @@
         Ok(Self {
             sender,
             driver: Box::pin(driver),
+            allowance,
             closed: false,
+            requests: SmallVec::new(),
             usable_until: Moment::NEVER,
         })
     }
 
+    fn remember(&mut self, request_hash: u64) {
+        if self.requests.len() == REMEMBERED_REQUESTS {
+            self.requests.remove(0);
+        }
+        self.requests.push(request_hash);
+    }
+
+    /// Tells whether an idle connection has ended or received bytes that belong to no request.
+    fn has_ended(&mut self) -> bool {
+        // The connection is polled again when it is used, so that no waker is needed now.
+        let mut context = std::task::Context::from_waker(std::task::Waker::noop());
+        self.closed = self.closed || self.driver.as_mut().poll(&mut context).is_ready();
+        self.closed
+    }
+
     /// Sends a request on this connection and waits for the complete answer of at most [`ANSWER_MAX_BYTES`].
+    /// Sets `sent` when the request is handed over for writing.
     async fn send_and_receive(
         &mut self,
         request: Request<Full<Bytes>>,
+        sent: &AtomicBool,
+        bodies: &AtomicUsize,
     ) -> Result<(response::Parts, Bytes), ExchangeError> {
+        self.allowance.set(EXCHANGE_MAX_BYTES);
         // Detects, before the request is written, that the target has closed a reused connection or
         // has sent data on it.
         let ready = poll_until_ready(&mut self.driver, &mut self.closed, self.sender.ready()).await;
         if ready.is_err() || self.closed {
             return Err(ExchangeError::Unsent);
         }
+        sent.store(true, Ordering::Relaxed);
         let sending = self.sender.try_send_request(request);
         let response = poll_until_ready(&mut self.driver, &mut self.closed, sending)
             .await
             .map_err(|mut failure| match failure.take_message() {
                 Some(_unsent) => ExchangeError::Unsent,
-                None => ExchangeError::Sent,
+                None if self.allowance.is_used_up() || failure.error().is_parse_too_large() => {
+                    ExchangeError::TooLarge
+                }
+                None => ExchangeError::Closed,
             })?;
         let (head, body) = response.into_parts();
-        let collected = Limited::new(body, ANSWER_MAX_BYTES).collect();
-        let body = poll_until_ready(&mut self.driver, &mut self.closed, collected)
-            .await
-            .map_err(|_broken| ExchangeError::Sent)?;
-        Ok((head, body.to_bytes()))
+        let collected = collect_body(body, bodies);
+        let body = poll_until_ready(&mut self.driver, &mut self.closed, collected).await;
+        let body = body.map_err(|e| match e {
+            ExchangeError::Closed if self.allowance.is_used_up() => ExchangeError::TooLarge,
+            e => e,
+        })?;
+        // Bytes that arrived together with the answer belong to no request.
+        self.has_ended();
+        Ok((head, body))
+    }
+}
+
+/// Receives a complete body. `bodies` counts the bytes of all bodies that are being received.
+async fn collect_body(mut body: Incoming, bodies: &AtomicUsize) -> Result<Bytes, ExchangeError> {
+    let mut received = ReceivedBytes { bodies, own: 0 };
+    let mut parts: SmallVec<[Bytes; 1]> = SmallVec::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_broken| ExchangeError::Closed)?.into_data() else {
+            // Trailers are not passed on.
+            continue;
+        };
+        received.add(data.len())?;
+        parts.push(data);
+    }
+    Ok(match parts.len() {
+        1 => parts.remove(0),
+        _ => parts.concat().into(),
+    })
+}
+
+/// The received part of one body, as counted among all bodies until it is dropped.
+struct ReceivedBytes<'a> {
+    bodies: &'a AtomicUsize,
+    own: usize,
+}
+
+impl ReceivedBytes<'_> {
+    fn add(&mut self, bytes: usize) -> Result<(), ExchangeError> {
+        self.own += bytes;
+        let all = self.bodies.fetch_add(bytes, Ordering::Relaxed) + bytes;
+        if self.own > ANSWER_MAX_BYTES || all > BODIES_MAX_BYTES {
+            return Err(ExchangeError::TooLarge);
+        }
+        Ok(())
+    }
+}
+
+impl Drop for ReceivedBytes<'_> {
+    fn drop(&mut self) {
+        self.bodies.fetch_sub(self.own, Ordering::Relaxed);
     }
 }
 
 /// Waits for a future and polls the driver of the connection that it depends on meanwhile.
 async fn poll_until_ready<F>(
-    driver: &mut Pin<Box<http1::Connection<TokioIo<TcpStream>, Full<Bytes>>>>,
+    driver: &mut Pin<Box<Driver>>,
     closed: &mut bool,
     future: F,
 ) -> F::Output
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -18,6 +18,7 @@
 use arc_swap::ArcSwapOption;
 use ractor::ActorRef;
 use rand::Rng;
+use tokio_util::sync::CancellationToken;
 
 use super::budget::{Bound, Budget};
 use super::journal::RateLimiter;
@@ -119,6 +120,8 @@
     /// How long a planned stop may take, in microseconds.
     grace_period_us: AtomicU64,
     stopping: AtomicBool,
+    /// Cancelled when the control actor has ended.
+    failed: CancellationToken,
     running_requests: AtomicUsize,
     lag: Mutex<Lag>,
     meters: Meters,
@@ -247,6 +250,7 @@
                 u64::try_from(config.grace_period.as_micros()).unwrap_or(u64::MAX),
             ),
             stopping: AtomicBool::new(false),
+            failed: CancellationToken::new(),
             running_requests: AtomicUsize::new(0),
             lag: Mutex::new(Lag::open(clock.now())),
             meters: Meters::open(),
@@ -267,8 +271,7 @@
     ///
     /// A process that lacks processor time reads requests late, so its measured lag is subtracted.
     pub fn estimate_sent_at(&self) -> Moment {
-        let now = self.shared.clock.now();
-        now - self.shared.lag().at(now)
+        self.shared.estimate_arrival(self.shared.clock.now())
     }
 
     /// Returns the size limits for requests of callers, from the settings in force.
@@ -336,6 +339,12 @@
             .store(grace_period_us, Ordering::Release);
     }
 
+    /// Waits until the node can no longer follow changes, because its control actor has ended after an error or
+    /// a panic. The process must then end, so that the platform starts it again.
+    pub async fn failed(&self) {
+        self.shared.failed.cancelled().await;
+    }
+
     /// Stops the node: leaves the address lists, keeps serving for [`DRAIN_PERIOD`], and returns when no
     /// request runs any longer, or [`EXIT_MARGIN`] before the end of the grace period.
     pub async fn stop(&self) {
@@ -357,7 +366,7 @@
 
     /// Sends a message to the control actor.
     fn notify_control(&self, message: control::Message) {
-        // The actor runs as long as the process.
+        // If the actor has ended, the process ends; see `failed`.
         let _running = self.control.cast(message);
     }
 }
@@ -369,6 +378,11 @@
             && self.fresh_until.load(Ordering::Acquire) > 0
     }
 
+    /// Estimates when something arrived at this process that it handles now.
+    fn estimate_arrival(&self, now: Moment) -> Moment {
+        now - self.lag().at(now)
+    }
+
     /// Tells whether a newer route table may exist that this node does not have yet.
     fn is_uncertain(&self, now: Moment) -> bool {
         now.as_micros() >= self.fresh_until.load(Ordering::Acquire)
--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -9,14 +9,14 @@
 
 use super::report::millis_rounded;
 use super::{Shared, heartbeat_address};
-use crate::connection::keyspace::{Freshness, Keyspace, Revision};
+use crate::connection::keyspace::{self, Freshness, Keyspace, Revision};
 use crate::connection::mirror::{self, Update};
 use crate::connection::outbound::Protocol;
 use crate::process::follow::{Follower, Notification};
 use crate::process::heartbeat::Socket;
 use crate::process::mirror::{Change, Mirror};
 use crate::process::registry::Effect;
-use crate::process::roster::{HEARTBEAT_INTERVAL, Heartbeat};
+use crate::process::roster::{HEARTBEAT_INTERVAL, Heartbeat, startup_delay};
 use crate::time::Moment;
 use crate::version::item::{Codec, Item, ItemKind, Node};
 
@@ -34,8 +34,14 @@
 /// Minimum time between a fetch of changes and the next one from a node of the own data centre, for a node
 /// that does not serve callers.
 const STANDBY_FETCH_INTERVAL: Duration = Duration::from_millis(900);
+/// How long a node with unconfirmed settings waits for heartbeats that tell of newer changes: two intervals of
+/// [`HEARTBEAT_INTERVAL`] and the time on the way.
+const NEWER_CHANGES_WAIT: Duration = Duration::from_millis(700);
 /// The time after its start within which a node has received heartbeats of all other nodes.
 const DISCOVERY_PERIOD: Duration = Duration::from_secs(10);
+/// The rounds of heartbeats after which a node that is elected to serve callers lists the store without waiting
+/// for its turn. Before, it may be elected only because it does not know the other nodes yet.
+const STARTUP_ROUNDS: u32 = 2;
 /// Heartbeats go to seed hosts without a known node once in this number of rounds.
 const SEED_INTERVAL_ROUNDS: u32 = 3;
 
@@ -47,7 +53,14 @@
     /// A heartbeat of another node.
     Heartbeat(Heartbeat),
     /// The changes fetched from another node; `None` if the fetch failed.
-    PeerUpdate(Option<Update>),
+    PeerUpdate {
+        /// When the changes were requested.
+        requested_at: Moment,
+        /// The changes.
+        update: Option<Update>,
+    },
+    /// The node has waited for its turn to list the store.
+    StartListing,
     /// [`HEARTBEAT_INTERVAL`] has passed.
     Tick,
     /// The node stops: revoke its lease and tell the other nodes.
@@ -64,12 +77,18 @@
     K: Keyspace,
     P: Protocol,
 {
+    let failed = shared.failed.clone();
     let arguments = Arguments {
         shared,
         keyspace: Arc::clone(keyspace),
         codec,
     };
-    let (actor, _ended) = Actor::spawn(None, Control(std::marker::PhantomData), arguments).await?;
+    let (actor, ended) = Actor::spawn(None, Control(std::marker::PhantomData), arguments).await?;
+    tokio::spawn(async move {
+        // The actor is never stopped, so it ends only by an error or a panic.
+        let _ended = ended.await;
+        failed.cancel();
+    });
     Ok(actor)
 }
 
@@ -94,6 +113,9 @@
     newer_peer: Option<NewerPeer>,
     /// Whether a fetch from another node is in progress.
     is_fetching: bool,
+    /// When this node first had settings that neither the store nor a node with a confirmed state had
+    /// confirmed.
+    unconfirmed_since: Option<Moment>,
     /// When the last fetch from another node was started.
     last_fetch: Moment,
     /// The membership as of the last tick.
@@ -152,6 +174,7 @@
         let follower = Follower::spawn(
             &keyspace,
             codec.prefixes(),
+            codec.nodes_prefix(&node.data_centre),
             codec.encode_node(node),
             shared.meters.clone(),
             move |notification| {
@@ -169,6 +192,7 @@
             watch_confirmed: false,
             newer_peer: None,
             is_fetching: false,
+            unconfirmed_since: None,
             last_fetch: Moment::ZERO,
             membership: Membership::default(),
             rounds: 0,
@@ -182,9 +206,16 @@
         state: &mut State<P>,
     ) -> Result<(), ActorProcessingErr> {
         match message {
-            Message::Store(notification) => state.handle_notification(notification),
+            Message::Store(Notification::Failed) => {
+                return Err("a task that follows the store has panicked".into());
+            }
+            Message::Store(notification) => state.handle_notification(notification, &myself),
             Message::Heartbeat(heartbeat) => state.handle_heartbeat(heartbeat, &myself),
-            Message::PeerUpdate(update) => state.import_update(update),
+            Message::PeerUpdate {
+                requested_at,
+                update,
+            } => state.import_update(update, requested_at),
+            Message::StartListing => state.follower.start_listing(),
             Message::Tick => state.tick(&myself),
             Message::Stop => {
                 state.follower.revoke_lease();
@@ -200,8 +231,10 @@
     P: Protocol,
 {
     /// Applies a notification of the follower.
-    fn handle_notification(&mut self, notification: Notification) {
+    fn handle_notification(&mut self, notification: Notification, myself: &ActorRef<Message>) {
         let now = self.shared.clock.now();
+        // An answer that waited while this process was paused proves nothing about the time since.
+        let answered_at = self.shared.estimate_arrival(now);
         match notification {
             Notification::Listed {
                 prefix,
@@ -212,7 +245,15 @@
                 let changes = self.update_mirror(prefix, |mirror| mirror.replace(items, revision));
                 self.apply_changes(changes, now);
                 if freshness == Freshness::Latest {
-                    self.shared.extend_freshness(now + FRESHNESS_PERIOD);
+                    self.shared.extend_freshness(answered_at + FRESHNESS_PERIOD);
+                }
+            }
+            Notification::Neighbours { items } => self.await_turn(&items, myself, now),
+            Notification::Failed => {}
+            Notification::Renewed => {
+                if self.watch_confirmed && self.store_available {
+                    self.shared
+                        .extend_freshness_if_known(answered_at + FRESHNESS_PERIOD);
                 }
             }
             Notification::Changed {
@@ -227,7 +268,7 @@
                     changes
                 });
                 self.apply_changes(changes, now);
-                self.shared.extend_freshness(now + FRESHNESS_PERIOD);
+                self.shared.extend_freshness(answered_at + FRESHNESS_PERIOD);
                 self.watch_confirmed = true;
             }
             Notification::Availability { available, cause } => {
@@ -247,6 +288,31 @@
         }
     }
 
+    /// Records the other nodes of the data centre, and starts to list the store when it is this node's turn.
+    fn await_turn(&self, items: &[keyspace::Item], myself: &ActorRef<Message>, now: Moment) {
+        let nodes: Vec<Node> = items
+            .iter()
+            .filter_map(|item| match self.codec.decode(&item.key, &item.value) {
+                Item::Node(node) => Some(node),
+                _ => None,
+            })
+            .collect();
+        let own = &self.shared.config.node;
+        let delay = startup_delay(own, nodes.iter());
+        log::info!(
+            nodes = nodes.len(), delay_ms = millis_rounded(delay);
+            "nodes of the data centre read; the store is listed after the delay"
+        );
+        for node in nodes.into_iter().filter(|node| node.name != own.name) {
+            self.shared.roster().add_record(node, now);
+        }
+        if delay.is_zero() {
+            self.follower.start_listing();
+        } else {
+            let _waiting = myself.send_after(delay, || Message::StartListing);
+        }
+    }
+
     /// Applies `change` to the mirror of the prefix, and returns the accepted changes.
     fn update_mirror<F>(&self, prefix: &str, change: F) -> Vec<Change>
     where
@@ -407,7 +473,9 @@
                 });
             }
         } else if heartbeat.revision == latest && trusts_peers && heartbeat.fresh {
-            self.shared.extend_freshness(now + FRESHNESS_PERIOD);
+            // A heartbeat that waited while this process was paused proves nothing about the time since.
+            let arrived_at = self.shared.estimate_arrival(now);
+            self.shared.extend_freshness(arrived_at + FRESHNESS_PERIOD);
         }
         self.shared.roster().record_heartbeat(heartbeat, now);
         self.fetch_if_behind(myself, now);
@@ -462,7 +530,7 @@
         self.share_bounds(now);
         self.send_heartbeats(self.rounds);
         self.shared.roster().expire(now);
-        self.shared.pool.close_expired(now);
+        self.shared.pool.close_unusable(now);
         let effects = self.shared.placement().registry.expire(now);
         if !effects.is_empty() {
             log::info!(
@@ -473,10 +541,7 @@
         for effect in effects {
             self.apply_effect(effect);
         }
-        if self.watch_confirmed && self.store_available {
-            self.shared
-                .extend_freshness_if_known(now + FRESHNESS_PERIOD);
-        }
+        self.accept_unconfirmed_settings(now);
         self.probe_targets(now);
         self.update_gauges(now);
         self.fetch_if_behind(myself, now);
@@ -523,8 +588,12 @@
 
     /// Starts or stops watching the store, and adapts the lease renewals, according to the election.
     fn update_follower(&mut self) {
-        self.follower
-            .set_serving(self.shared.roster().serves_callers());
+        let serves = self.shared.roster().serves_callers();
+        self.follower.set_serving(serves);
+        if serves && self.rounds > STARTUP_ROUNDS {
+            // A node that stands in for another one does not wait for its turn.
+            self.follower.start_listing();
+        }
         let watches = self.is_watching();
         self.watch_confirmed &= watches;
         let mirrors = self.shared.mirrors();
@@ -605,7 +674,11 @@
                     "cannot fetch changes from another node; the last known state stays in use"
                 );
             }
-            let _running = actor.cast(Message::PeerUpdate(update.ok()));
+            let update = update.ok();
+            let _running = actor.cast(Message::PeerUpdate {
+                requested_at: now,
+                update,
+            });
         });
     }
 
@@ -614,6 +687,12 @@
         let own = &self.shared.config.node;
         let waited = now.since(newer_peer.since);
         let roster = self.shared.roster();
+        let has_contents = self.latest_change() > Revision::default();
+        if !has_contents && self.store_available && !roster.serves_callers() {
+            // This node lists the store when it is its turn. Copies for all nodes of a data centre would fill
+            // the links of those that serve callers.
+            return false;
+        }
         if roster.watches_store() && self.store_available {
             waited >= WATCH_RESTART_DELAY
         } else if newer_peer.node.data_centre != own.data_centre {
@@ -624,7 +703,7 @@
     }
 
     /// Applies the changes fetched from another node.
-    fn import_update(&mut self, update: Option<Update>) {
+    fn import_update(&mut self, update: Option<Update>, requested_at: Moment) {
         self.is_fetching = false;
         let Some(update) = update else { return };
         let now = self.shared.clock.now();
@@ -636,7 +715,25 @@
                 .collect()
         };
         self.apply_changes(changes, now);
-        self.shared.extend_freshness(now + update.fresh_for);
+        // The other node stated the time after it had received the request.
+        let fresh_for = update.fresh_for.min(FRESHNESS_PERIOD);
+        if fresh_for.is_zero() {
+            self.unconfirmed_since.get_or_insert(now);
+        } else {
+            self.shared.extend_freshness(requested_at + fresh_for);
+        }
+    }
+
+    /// Lets the node accept requests with settings that nothing has confirmed, once the other nodes have had
+    /// time to tell of newer changes. The node that they came from may have been cut off or paused for long.
+    fn accept_unconfirmed_settings(&self, now: Moment) {
+        let waited = self
+            .unconfirmed_since
+            .is_some_and(|since| now.since(since) >= NEWER_CHANGES_WAIT);
+        if waited && self.newer_peer.is_none() && !self.is_fetching {
+            // The settings count as confirmed for no time, so the node denies no route for lack of it.
+            self.shared.extend_freshness(Moment::from_micros(1));
+        }
     }
 }
 
--- a/src/process/follow.rs
+++ b/src/process/follow.rs
@@ -1,7 +1,9 @@
 //! Follows the platform's store: lists and watches its prefixes, and publishes the node's own record in it.
 //!
-//! One task renews the node's lease, which also shows whether the store is available. One task for each
-//! prefix lists it and then, on the few nodes that are elected to do so, watches it. A watch is restarted
+//! One task renews the node's lease, which also shows whether the store is available. One task reads which
+//! nodes its data centre has, so that the node can decide when to list the store: hundreds of nodes that start
+//! at once and list it together would fill its link for a second. One task for each prefix then lists it and,
+//! on the few nodes that are elected to do so, watches it. A watch is restarted
 //! from the last revision if its connection breaks, or if other nodes have changes that it has not delivered.
 //! While the store is unavailable, only the lease task calls it, because each call is paid for.
 
@@ -79,6 +81,15 @@
         /// Every change up to this revision has been delivered.
         revision: Revision,
     },
+    /// The records of the nodes in this node's data centre have been read, possibly stale ones.
+    Neighbours {
+        /// The items that hold the records.
+        items: Vec<Item>,
+    },
+    /// The store has answered a renewal of this node's lease.
+    Renewed,
+    /// A task of the follower has ended because of a panic.
+    Failed,
     /// The store has become available or unavailable.
     Availability {
         /// Whether the store answers.
@@ -104,6 +115,8 @@
     stopping: AtomicBool,
     /// Whether this node serves callers.
     serving: AtomicBool,
+    /// Whether this node may list the store.
+    listing: AtomicBool,
     /// Whether this node watches the store. It does not before the first election of nodes.
     watching: AtomicBool,
     /// Every change up to this revision is in the mirrors; other nodes may have delivered it.
@@ -115,12 +128,14 @@
 }
 
 impl Follower {
-    /// Starts to follow the prefixes and to publish `record`, a key with its value, under a lease.
+    /// Starts to follow the prefixes and to publish `record`, a key with its value, under a lease. The
+    /// prefixes are listed after [`Self::start_listing`]; `neighbours_prefix` is read at once.
     ///
-    /// `notify` is called from the tasks for each listing, watch call and change of availability.
+    /// `notify` is called from the tasks for each listing, watch call, renewal and change of availability.
     pub fn spawn<K, F>(
         keyspace: &Arc<K>,
         prefixes: &[&'static str],
+        neighbours_prefix: String,
         record: (String, Vec<u8>),
         meters: Meters,
         notify: F,
@@ -135,12 +150,20 @@
             consecutive_failures: AtomicU32::new(0),
             stopping: AtomicBool::new(false),
             serving: AtomicBool::new(true),
+            listing: AtomicBool::new(false),
             watching: AtomicBool::new(false),
             known_revision: AtomicU64::new(0),
             state_changed: Notify::new(),
             renewal_requested: Notify::new(),
         });
-        let mut tasks = Vec::with_capacity(prefixes.len() + 1);
+        let mut tasks = Vec::with_capacity(prefixes.len() + 2);
+        let task = read_neighbours(
+            Arc::clone(keyspace),
+            Arc::clone(&shared),
+            neighbours_prefix,
+            notify.clone(),
+        );
+        tasks.push(supervise(task, notify.clone()));
         for &prefix in prefixes {
             let task = list_and_watch(
                 Arc::clone(keyspace),
@@ -148,16 +171,28 @@
                 prefix,
                 notify.clone(),
             );
-            tasks.push(AbortOnDropHandle::new(tokio::spawn(task)));
+            tasks.push(supervise(task, notify.clone()));
         }
-        let task = publish_record(Arc::clone(keyspace), Arc::clone(&shared), record, notify);
-        tasks.push(AbortOnDropHandle::new(tokio::spawn(task)));
+        let task = publish_record(
+            Arc::clone(keyspace),
+            Arc::clone(&shared),
+            record,
+            notify.clone(),
+        );
+        tasks.push(supervise(task, notify));
         Self {
             shared,
             _tasks: tasks,
         }
     }
 
+    /// Lets the node list the store. Further calls have no effect.
+    pub fn start_listing(&self) {
+        if !self.shared.listing.swap(true, Ordering::AcqRel) {
+            self.shared.state_changed.notify_waiters();
+        }
+    }
+
     /// Restarts the watches, because another node has changes that they have not delivered.
     pub fn restart_watches(&self) {
         self.shared.state_changed.notify_waiters();
@@ -227,6 +262,10 @@
         self.available.load(Ordering::Acquire)
     }
 
+    fn may_list(&self) -> bool {
+        self.listing.load(Ordering::Acquire)
+    }
+
     fn is_watching(&self) -> bool {
         self.watching.load(Ordering::Acquire)
     }
@@ -237,6 +276,20 @@
     }
 }
 
+/// Runs a task, and notifies if it panics.
+fn supervise<T, F>(task: T, notify: F) -> AbortOnDropHandle<()>
+where
+    T: Future<Output = ()> + Send + 'static,
+    F: Fn(Notification) + Send + Sync + 'static,
+{
+    let task = AbortOnDropHandle::new(tokio::spawn(task));
+    AbortOnDropHandle::new(tokio::spawn(async move {
+        if task.await.is_err_and(|e| e.is_panic()) {
+            notify(Notification::Failed);
+        }
+    }))
+}
+
 /// Returns a random delay before a retry, so that nodes do not call the store at the same time.
 fn retry_delay() -> Duration {
     rand::rng().random_range(RETRY_DELAY_MIN..RETRY_DELAY_MAX)
@@ -266,6 +319,26 @@
     result
 }
 
+/// Reads the records of the nodes in this node's data centre.
+async fn read_neighbours<K, F>(keyspace: Arc<K>, shared: Arc<Shared>, prefix: String, notify: F)
+where
+    K: Keyspace,
+    F: Fn(Notification) + Send + Sync,
+{
+    loop {
+        match list_all(&*keyspace, &shared.meters, &prefix, Freshness::AllowStale).await {
+            Ok((items, _)) => {
+                shared.record_success(&notify);
+                return notify(Notification::Neighbours { items });
+            }
+            Err(cause) => {
+                shared.record_failure(&cause, &notify);
+                wait_until_available(&shared).await;
+            }
+        }
+    }
+}
+
 /// Lists a prefix and then watches it. It lists the prefix again if the store has compacted its changes.
 async fn list_and_watch<K, F>(
     keyspace: Arc<K>,
@@ -276,6 +349,7 @@
     K: Keyspace,
     F: Fn(Notification) + Send + Sync,
 {
+    wait_until(&shared, Shared::may_list).await;
     let started = Instant::now();
     // Stale reads are cheap, and the watch delivers the changes that they lack.
     let mut freshness = Freshness::AllowStale;
@@ -305,7 +379,7 @@
         loop {
             // A call that does not wait is made even if another node watches the store. Before a call that
             // waits, this node itself waits until it should watch.
-            if wait > Duration::ZERO && wait_until_watching(&shared).await {
+            if wait > Duration::ZERO && wait_until(&shared, Shared::is_watching).await {
                 after = after.max(shared.known_revision());
                 // A call that does not wait returns at once, and so soon confirms that this node has every
                 // change.
@@ -366,12 +440,12 @@
     }
 }
 
-/// Waits until this node should watch the store. Returns whether it had to wait.
-async fn wait_until_watching(shared: &Shared) -> bool {
+/// Waits until the condition holds. Returns whether it had to wait.
+async fn wait_until(shared: &Shared, condition: fn(&Shared) -> bool) -> bool {
     let mut has_waited = false;
     loop {
         let changed = shared.state_changed.notified();
-        if shared.is_watching() {
+        if condition(shared) {
             return has_waited;
         }
         has_waited = true;
@@ -382,13 +456,7 @@
 /// Waits for a quarter of a random retry delay (37 to 125 ms), and then until the store is available.
 async fn wait_until_available(shared: &Shared) {
     sleep(retry_delay() / 4).await;
-    loop {
-        let changed = shared.state_changed.notified();
-        if shared.is_available() {
-            return;
-        }
-        changed.await;
-    }
+    wait_until(shared, Shared::is_available).await;
 }
 
 /// Lists all items of a prefix, page by page. Returns them with the revision of the first page.
@@ -457,6 +525,7 @@
             Ok(held) => {
                 lease = Some(held);
                 shared.record_success(&notify);
+                notify(Notification::Renewed);
                 if shared.serving.load(Ordering::Acquire) {
                     RENEWAL_INTERVAL
                 } else {
--- a/src/process/roster.rs
+++ b/src/process/roster.rs
@@ -4,6 +4,7 @@
 //! that a node has failed, because the store may revoke the leases of live nodes; and a record does not prove
 //! that its node is alive, because it outlives the node. See `docs/decisions/008-platform.md`.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -33,10 +34,18 @@
 /// number of rounds.
 pub const STANDBY_INTERVAL_ROUNDS: u32 = 10;
 /// The heartbeat timeout between nodes that exchange heartbeats only every [`STANDBY_INTERVAL_ROUNDS`], which
-/// is every 3 s. One lost heartbeat exceeds it.
-pub const STANDBY_HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(4);
+/// is every 3 s. Two lost heartbeats do not exceed it.
+pub const STANDBY_HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long a node without a record in the store and without heartbeats stays known and is sent heartbeats.
 pub const NODE_EXPIRY: Duration = Duration::from_secs(15);
+/// The number of nodes of each data centre, the strongest ones, that read the store at once after a start: those
+/// that serve callers, and some to stand in for them.
+pub const STARTUP_FIRST_NODES: usize = 4;
+/// The interval at which the other nodes of a data centre start to read the store, one after the other. At 300
+/// nodes and 1,350 targets, each reads 0.7 MB, and the store's link carries 125 MB/s.
+pub const STARTUP_INTERVAL: Duration = Duration::from_millis(60);
+/// The time after which every node reads the store, however many are before it.
+pub const STARTUP_DELAY_MAX: Duration = Duration::from_secs(6);
 /// Maximum number of addresses that callers use from a list.
 pub const ADDRESSES_MAX: usize = 64;
 /// Minimum number of addresses in a list, if that many nodes serve callers. A caller whose node fails needs
@@ -177,7 +186,10 @@
             .chain([own])
             .map(|node| (node.data_centre.clone(), node.millicores, node.name.clone()))
             .collect();
-        order.sort_by(|a, b| a.0.cmp(&b.0).then(b.1.cmp(&a.1)).then(a.2.cmp(&b.2)));
+        order.sort_by(|a, b| {
+            a.0.cmp(&b.0)
+                .then_with(|| strength_order((a.1, &a.2), (b.1, &b.2)))
+        });
         let (mut data_centre, mut serving, mut total_millicores, mut has_watcher) =
             (String::new(), 0, 0, false);
         for (node_data_centre, millicores, name) in order {
@@ -323,6 +335,29 @@
     }
 }
 
+/// Returns how long a node that has just started waits before it reads the store, given the other nodes of its
+/// data centre that have a record there.
+///
+/// When hundreds of nodes start at the same moment, the store's link must first carry the copies of those that
+/// callers wait for.
+pub fn startup_delay<'a>(own: &Node, neighbours: impl Iterator<Item = &'a Node>) -> Duration {
+    let stronger = neighbours
+        .filter(|node| node.data_centre == own.data_centre && node.name != own.name)
+        .filter(|node| {
+            strength_order((node.millicores, &node.name), (own.millicores, &own.name)).is_lt()
+        })
+        .count();
+    let position = u32::try_from((stronger + 1).saturating_sub(STARTUP_FIRST_NODES));
+    STARTUP_INTERVAL
+        .saturating_mul(position.unwrap_or(u32::MAX))
+        .min(STARTUP_DELAY_MAX)
+}
+
+/// Compares two nodes, each given by its millicores and its name: the stronger one comes first.
+fn strength_order(a: (u32, &str), b: (u32, &str)) -> Ordering {
+    b.0.cmp(&a.0).then_with(|| a.1.cmp(b.1))
+}
+
 /// Tells whether the last heartbeat of a node arrived within [`HEARTBEAT_TIMEOUT`].
 fn is_alive(known: &KnownNode, now: Moment) -> bool {
     known
--- a/src/process/warmup.rs
+++ b/src/process/warmup.rs
@@ -73,7 +73,7 @@
             self.schedules
                 .retain(|_, schedule| schedule.next_send > now);
         }
-        let interval = Duration::from_secs_f64(senders as f64 / rate);
+        let interval = Duration::try_from_secs_f64(senders as f64 / rate).unwrap_or(Duration::MAX);
         let schedule = self
             .schedules
             .entry(Arc::clone(target))
--- a/src/request/reply.rs
+++ b/src/request/reply.rs
@@ -41,24 +41,28 @@
     /// The address belongs to another target, which refused the request.
     #[display("misdirected")]
     Misdirected,
-    /// No connection to the target could be made, or a new one ended before the request was written to it.
+    /// No connection to the target could be made before the deadline, or a new one ended before the request
+    /// was written to it.
     #[display("unreachable")]
     Unreachable,
     /// The target was removed from the registry before the request was sent.
     #[display("gone")]
     Unregistered,
     /// The request was written to a reused connection, and the connection ended before the answer was
-    /// complete, or the answer exceeded the size limit.
+    /// complete.
     #[display("broken")]
     ReusedConnectionClosed,
-    /// The request was written to a new connection, and the connection ended before the answer was complete,
-    /// or the answer exceeded the size limit.
+    /// The request was written to a new connection, and the connection ended before the answer was complete.
     #[display("cut")]
     NewConnectionClosed,
-    /// The answer carries the id of another request, has no signature or has an encoded body.
+    /// The target sent more bytes than an answer may have.
+    #[display("too_large")]
+    TooLarge,
+    /// The answer carries the id of another request, lacks an id on a connection that has carried an answer
+    /// before, has no signature or has an encoded body.
     #[display("foreign")]
     Unverified,
-    /// No answer arrived before the deadline, which also limits the time for opening a connection.
+    /// No answer arrived before the deadline.
     #[display("timeout")]
     Timeout,
 }
--- a/src/time.rs
+++ b/src/time.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use derive_more::Display;
+use rustix::time::{ClockId, clock_gettime};
 use serde::{Deserialize, Serialize};
 
 /// A point on the monotonic clock of one process, in microseconds since the process started.
@@ -84,28 +85,43 @@
 }
 
 /// The monotonic clock of a process, which only code that performs I/O reads.
+///
+/// It also counts the time for which the machine is suspended. Leases and the limits that others enforce go on
+/// during that time, so a process that acts on them after a suspension must see that they have ended.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
-    origin: Instant,
+    /// The time since the machine booted at which the process started.
+    origin: Duration,
 }
 
 impl Clock {
     /// Returns a clock whose origin is now.
     pub fn start() -> Self {
         Self {
-            origin: Instant::now(),
+            origin: time_since_boot(),
         }
     }
 
     /// Returns the present moment.
     pub fn now(self) -> Moment {
-        Moment::ZERO + self.origin.elapsed()
+        Moment::ZERO + time_since_boot().saturating_sub(self.origin)
     }
 
-    /// Returns a moment of this clock as the [`Instant`] that the timers of the runtime take.
+    /// Returns a moment of this clock as the [`Instant`] that the timers of the runtime take. The timers do not
+    /// count suspensions, so a timer may end later than the moment.
     pub fn instant(self, moment: Moment) -> Instant {
         /// Timers need a finite instant; no process runs for a year.
         const MAX_TIMER_DELAY: Duration = Duration::from_hours(365 * 24);
-        self.origin + Duration::from_micros(moment.0).min(MAX_TIMER_DELAY)
+        let delay = self.now().until(moment).min(MAX_TIMER_DELAY);
+        Instant::now() + delay
     }
 }
+
+/// Returns the time since the machine booted, including suspensions.
+fn time_since_boot() -> Duration {
+    let now = clock_gettime(ClockId::Boottime);
+    Duration::new(
+        u64::try_from(now.tv_sec).unwrap_or_default(),
+        u32::try_from(now.tv_nsec).unwrap_or_default(),
+    )
+}
--- a/src/version/item.rs
+++ b/src/version/item.rs
@@ -101,6 +101,9 @@
     /// Decodes the value under a key.
     fn decode(&self, key: &str, value: &[u8]) -> Item;
 
+    /// Returns the prefix of the keys under which the nodes of a data centre publish themselves.
+    fn nodes_prefix(&self, data_centre: &str) -> String;
+
     /// Returns the key and the encoded value under which a node publishes itself.
     fn encode_node(&self, node: &Node) -> (String, Vec<u8>);
 }
--- a/standins/src/platform/target.rs
+++ b/standins/src/platform/target.rs
@@ -13,6 +13,9 @@
 /// The maximum size of a request; a connection that sends more is closed.
 const REQUEST_MAX_BYTES: usize = 1 << 20;
 
+/// How often a repeated part stands in one block of a flood.
+const FLOOD_BLOCK_REPEATS: usize = 256;
+
 /// How a target handles the requests that it receives.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Behaviour {
@@ -37,6 +40,72 @@
     FalseRefusal,
     /// The target runs the request and never answers.
     NeverAnswer,
+    /// Before the answer to a request, the target sends a second copy of its previous answer on the
+    /// connection.
+    RepeatPrevious(Repeat),
+    /// The target sends bytes without end until the connection is closed.
+    Flood(Flood),
+}
+
+/// The form of a second copy of an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Repeat {
+    /// The copy has the request id of the first answer.
+    Identical,
+    /// The copy has no request id.
+    WithoutId,
+    /// The copy has no request id, and status 421, which refuses a request meant for another target.
+    MisdirectedWithoutId,
+}
+
+/// Where the bytes without end stand.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Flood {
+    /// Header lines, one after the other.
+    HeaderLines,
+    /// One header line that does not end.
+    HeaderLine,
+    /// Interim responses with status 100.
+    InterimResponses,
+    /// Chunks of one byte.
+    Chunks,
+    /// The extension of a chunk.
+    ChunkExtension,
+    /// The body of an answer without a length.
+    Body,
+    /// Bytes after a complete answer.
+    AfterAnswer,
+}
+
+impl Flood {
+    /// Returns the bytes before the repeated part, for an answer with these headers and this body.
+    fn opening(self, headers: &str, body: &[u8]) -> Vec<u8> {
+        let head = format!("HTTP/1.1 200 OK\r\n{headers}");
+        let text = match self {
+            Self::HeaderLines => head,
+            Self::HeaderLine => format!("{head}X-Long: "),
+            Self::InterimResponses => String::new(),
+            Self::Chunks => format!("{head}Transfer-Encoding: chunked\r\n\r\n"),
+            Self::ChunkExtension => format!("{head}Transfer-Encoding: chunked\r\n\r\n1;x="),
+            Self::Body => format!("{head}Connection: close\r\n\r\n"),
+            Self::AfterAnswer => format!("{head}Content-Length: {}\r\n\r\n", body.len()),
+        };
+        match self {
+            Self::AfterAnswer => [text.as_bytes(), body].concat(),
+            _ => text.into_bytes(),
+        }
+    }
+
+    /// Returns the part that is repeated without end.
+    const fn repeated(self) -> &'static [u8] {
+        match self {
+            Self::HeaderLines => b"X-Line: a\r\n",
+            Self::HeaderLine | Self::ChunkExtension | Self::Body => b"aaaaaaaa",
+            Self::InterimResponses => b"HTTP/1.1 100 Continue\r\n\r\n",
+            Self::Chunks => b"1\r\na\r\n",
+            Self::AfterAnswer => b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na",
+        }
+    }
 }
 
 /// The properties of a target.
@@ -85,10 +154,13 @@
 struct Shared {
     spec: Spec,
     behaviour: Mutex<Behaviour>,
+    service_time: Mutex<Duration>,
     journal: Mutex<Vec<Arrival>>,
     open_connections: AtomicUsize,
     /// The number of requests whose connection the sender closed while they ran.
     abandoned_requests: AtomicUsize,
+    /// The bytes that floods have written.
+    flooded_bytes: AtomicUsize,
 }
 
 /// A parsed request; header names are in lower case.
@@ -106,9 +178,11 @@
         let shared = Arc::new(Shared {
             spec: spec.clone(),
             behaviour: Mutex::default(),
+            service_time: Mutex::new(spec.service_time),
             journal: Mutex::default(),
             open_connections: AtomicUsize::new(0),
             abandoned_requests: AtomicUsize::new(0),
+            flooded_bytes: AtomicUsize::new(0),
         });
         let stop = CancellationToken::new();
         let (accept_shared, accept_stop) = (Arc::clone(&shared), stop.clone());
@@ -156,6 +230,11 @@
         *lock(&self.shared.behaviour) = behaviour;
     }
 
+    /// Sets the time for which the target works on each further request.
+    pub fn set_service_time(&self, time: Duration) {
+        *lock(&self.shared.service_time) = time;
+    }
+
     /// Returns all requests that the target received, in order of arrival.
     pub fn journal(&self) -> Vec<Arrival> {
         lock(&self.shared.journal).clone()
@@ -172,6 +251,11 @@
         self.shared.abandoned_requests.load(Ordering::SeqCst)
     }
 
+    /// Returns the number of bytes that the target has written without end.
+    pub fn flooded_bytes(&self) -> usize {
+        self.shared.flooded_bytes.load(Ordering::SeqCst)
+    }
+
     /// Returns the number of open connections.
     pub fn open_connections(&self) -> usize {
         self.shared.open_connections.load(Ordering::SeqCst)
@@ -209,6 +293,7 @@
 
 async fn serve(mut stream: TcpStream, shared: &Shared) -> std::io::Result<()> {
     let mut buffer = Vec::new();
+    let mut previous_id: Option<String> = None;
     while let Some(request) = read(&mut stream, &mut buffer).await? {
         let header = |name: &str| {
             let known = request.headers.iter().find(|(key, _)| key == name);
@@ -239,7 +324,8 @@
             .await?;
             continue;
         }
-        if !simulate_work(&mut stream, &mut buffer, shared.spec.service_time).await? {
+        let service_time = *lock(&shared.service_time);
+        if !simulate_work(&mut stream, &mut buffer, service_time).await? {
             shared.abandoned_requests.fetch_add(1, Ordering::SeqCst);
             return Ok(());
         }
@@ -265,6 +351,30 @@
             }
             Behaviour::OmitSignature => respond(&mut stream, "200 OK", &echo, body).await?,
             Behaviour::DropAnswer => return Ok(()),
+            Behaviour::RepeatPrevious(repeat) => {
+                if let Some(previous) = previous_id.replace(id.clone()) {
+                    let seal = format!("X-Response-Seal: {}.{previous}\r\n", shared.spec.id);
+                    let (status, headers) = match repeat {
+                        Repeat::Identical => {
+                            ("200 OK", format!("{seal}X-Request-Id: {previous}\r\n"))
+                        }
+                        Repeat::WithoutId => ("200 OK", seal),
+                        Repeat::MisdirectedWithoutId => ("421 Misdirected Request", String::new()),
+                    };
+                    respond(&mut stream, status, &headers, b"the previous answer").await?;
+                }
+                respond(&mut stream, "200 OK", &headers, body).await?;
+            }
+            Behaviour::Flood(flood) => {
+                stream.write_all(&flood.opening(&headers, body)).await?;
+                let block = flood.repeated().repeat(FLOOD_BLOCK_REPEATS);
+                loop {
+                    stream.write_all(&block).await?;
+                    shared
+                        .flooded_bytes
+                        .fetch_add(block.len(), Ordering::SeqCst);
+                }
+            }
             Behaviour::NeverAnswer => while stream.read_buf(&mut buffer).await? > 0 {},
             Behaviour::TruncateAnswer => {
                 let head = format!(
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -11,6 +11,7 @@
 use redwinggrade::connection::keyspace::Revision;
 use redwinggrade::process::roster::{
     HEARTBEAT_INTERVAL, HEARTBEAT_TIMEOUT, Heartbeat, NODE_EXPIRY, Roster, STANDBY_INTERVAL_ROUNDS,
+    STARTUP_DELAY_MAX, STARTUP_FIRST_NODES, STARTUP_INTERVAL, startup_delay,
 };
 use redwinggrade::time::Moment;
 use redwinggrade::version::item::Node;
@@ -324,3 +325,53 @@
         serving
     );
 }
+
+/// Guards against a node that counts as failed because single heartbeats to standby nodes were lost.
+#[rstest]
+#[case::one_lost(1)]
+#[case::two_lost(2)]
+fn standby_node_tolerates_lost_heartbeats(#[case] lost: u32) {
+    let mut roster = Roster::default();
+    let own = local_node(9, 100);
+    let local_nodes: Vec<Node> = (1..=4).map(|n| local_node(n, 200)).collect();
+    let remote = Node {
+        millicores: 200,
+        ..node(5, REMOTE)
+    };
+    let all: Vec<Node> = local_nodes.iter().cloned().chain([remote]).collect();
+    let now = run_elections(&mut roster, &own, &all, at(0), 5);
+    let silent = STANDBY_INTERVAL_ROUNDS * (lost + 1) - 1;
+    let now = run_elections(&mut roster, &own, &local_nodes, now, silent);
+    assert!(roster.serving_nodes(now).any(|name| name == "n5"));
+}
+
+/// A start of 300 nodes at the same moment, as after a loss of power: the nodes that serve callers must not
+/// wait for copies of the store that the others read, and the link of the store must not carry all copies at
+/// once.
+#[test]
+fn strongest_nodes_read_store_first_after_start_of_all() {
+    let mut nodes: Vec<Node> = (1..=3).map(|n| local_node(n, 500)).collect();
+    nodes.extend((4..=60).map(|n| local_node(n, 120)));
+    let mut delays: Vec<_> = nodes
+        .iter()
+        .map(|own| startup_delay(own, nodes.iter()))
+        .collect();
+    assert!(delays[..3].iter().all(std::time::Duration::is_zero));
+    let at_once = delays.iter().filter(|delay| delay.is_zero()).count();
+    assert_eq!(at_once, STARTUP_FIRST_NODES);
+    delays.sort_unstable();
+    delays.dedup();
+    assert_eq!(delays.len(), nodes.len() - STARTUP_FIRST_NODES + 1);
+    assert_eq!(delays[1], STARTUP_INTERVAL);
+}
+
+/// Guards against a node that never reads the store because too many others are before it, or that waits for
+/// nodes of other data centres.
+#[test]
+fn startup_delay_is_bounded_and_counts_own_data_centre() {
+    let own = local_node(250, 120);
+    let local: Vec<Node> = (1..=249).map(|n| local_node(n, 500)).collect();
+    assert_eq!(startup_delay(&own, local.iter()), STARTUP_DELAY_MAX);
+    let remote: Vec<Node> = (1..=249).map(|n| node(n, REMOTE)).collect();
+    assert!(startup_delay(&own, remote.iter()).is_zero());
+}
