--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -215,7 +215,7 @@
                 requested_at,
                 update,
             } => state.import_update(update, requested_at),
-            Message::StartListing => state.follower.start_listing(),
+            Message::StartListing => state.follower.start_listing(false),
             Message::Tick => state.tick(&myself),
             Message::Stop => {
                 state.follower.revoke_lease();
@@ -307,7 +307,7 @@
             self.shared.roster().add_record(node, now);
         }
         if delay.is_zero() {
-            self.follower.start_listing();
+            self.follower.start_listing(true);
         } else {
             let _waiting = myself.send_after(delay, || Message::StartListing);
         }
@@ -592,7 +592,7 @@
         self.follower.set_serving(serves);
         if serves && self.rounds > STARTUP_ROUNDS {
             // A node that stands in for another one does not wait for its turn.
-            self.follower.start_listing();
+            self.follower.start_listing(true);
         }
         let watches = self.is_watching();
         self.watch_confirmed &= watches;
--- a/src/process/follow.rs
+++ b/src/process/follow.rs
@@ -117,6 +117,8 @@
     serving: AtomicBool,
     /// Whether this node may list the store.
     listing: AtomicBool,
+    /// Whether this node reads the changes after a stale listing from the store.
+    updates_from_store: AtomicBool,
     /// Whether this node watches the store. It does not before the first election of nodes.
     watching: AtomicBool,
     /// Every change up to this revision is in the mirrors; other nodes may have delivered it.
@@ -151,6 +153,7 @@
             stopping: AtomicBool::new(false),
             serving: AtomicBool::new(true),
             listing: AtomicBool::new(false),
+            updates_from_store: AtomicBool::new(false),
             watching: AtomicBool::new(false),
             known_revision: AtomicU64::new(0),
             state_changed: Notify::new(),
@@ -187,7 +190,13 @@
     }
 
     /// Lets the node list the store. Further calls have no effect.
-    pub fn start_listing(&self) {
+    ///
+    /// `from_store` tells whether the node then reads from the store what the listing lacks, which may be
+    /// seconds old. Other nodes get it from those of their data centre, because each call is paid for.
+    pub fn start_listing(&self, from_store: bool) {
+        self.shared
+            .updates_from_store
+            .fetch_or(from_store, Ordering::AcqRel);
         if !self.shared.listing.swap(true, Ordering::AcqRel) {
             self.shared.state_changed.notify_waiters();
         }
@@ -218,7 +227,7 @@
         }
     }
 
-    /// Revokes the node's lease, which removes its record, and ends the lease task.
+    /// Ends the lease task, and revokes the lease of a node that serves callers, which removes its record.
     pub fn revoke_lease(&self) {
         self.shared.stopping.store(true, Ordering::Release);
         self.shared.renewal_requested.notify_one();
@@ -371,9 +380,10 @@
             freshness,
         });
         // After a stale listing, a watch call that does not wait returns the changes since then.
+        let updates_from_store = shared.updates_from_store.load(Ordering::Acquire);
         let mut wait = match freshness {
-            Freshness::AllowStale => Duration::ZERO,
-            Freshness::Latest => WATCH_WAIT_MAX,
+            Freshness::AllowStale if updates_from_store => Duration::ZERO,
+            Freshness::AllowStale | Freshness::Latest => WATCH_WAIT_MAX,
         };
         let mut pause = BATCH_PAUSE_MIN;
         loop {
@@ -505,8 +515,10 @@
     let mut lease: Option<Lease> = None;
     loop {
         if shared.stopping.load(Ordering::Acquire) {
-            if let Some(lease) = lease.take() {
-                // The lease expires by itself if this call fails.
+            // The lease also expires by itself. Only the record of a node that serves callers is worth a call.
+            if let Some(lease) = lease.take()
+                && shared.serving.load(Ordering::Acquire)
+            {
                 let _ =
                     call_with_timeout(&shared.meters, "end", CALL_TIMEOUT, keyspace.revoke(lease))
                         .await;
