Refuse, instead of 504, what no target can have run at its deadline

Cause: a node that was paused or slowed past a request's deadline opened its connections and sent the subrequests with no time left, which targets refuse, and answered 504 or 502 although nothing had run. The verdict fell with the first result after the deadline, while the other subrequests still counted as possibly running (the test gave OutcomeUnknown(LowCoverage) before the second part of this change).

Change: a subrequest is not written once its deadline has passed, and counts as not run; results that are known at the deadline are taken in before the verdict, which is a refusal if no target can have run the request.

--- a/src/connection/outbound.rs
+++ b/src/connection/outbound.rs
@@ -207,7 +207,7 @@
             Err(_elapsed) if sent.load(Ordering::Relaxed) => {
                 CallResult::unanswered(Outcome::Lost(FailureCause::Timeout))
             }
-            Err(_elapsed) => CallResult::unanswered(Outcome::NotRun(FailureCause::Unreachable)),
+            Err(_elapsed) => CallResult::unanswered(Outcome::NotRun(FailureCause::Unsent)),
         }
     }
 
@@ -247,6 +247,10 @@
             let has_carried_answer = !connection.requests.is_empty();
             connection.remember(request_hash);
             let remaining = self.clock.now().until(deadline);
+            if remaining.is_zero() {
+                // The process was paused or late, and the target would only refuse the request.
+                return CallResult::unanswered(Outcome::NotRun(FailureCause::Unsent));
+            }
             let request = protocol.request(call, endpoint, remaining);
             let error = match connection
                 .send_and_receive(request, sent, &self.bodies)
--- a/src/request/fanout.rs
+++ b/src/request/fanout.rs
@@ -273,6 +273,9 @@
         if self.finished {
             return actions;
         }
+        // The results of subrequests tell whether a target may have run the request, so all that are known at the
+        // deadline come before the verdict, which the tick brings. A process that was paused has many of them.
+        let awaits_tick = now >= self.plan.deadline && matches!(event, Event::Result { .. });
         match event {
             Event::Start => {
                 if let Some(verdict) = self.refusal_if_infeasible(now, placement) {
@@ -297,7 +300,7 @@
                 }
             }
         }
-        if let Some(verdict) = self.verdict(now, placement) {
+        if !awaits_tick && let Some(verdict) = self.verdict(now, placement) {
             self.finished = true;
             actions.push(Action::Finish(verdict));
         }
@@ -336,7 +339,7 @@
     ) {
         let shard = &mut self.shards[shard_index];
         shard.retry_at = Moment::NEVER;
-        if shard.sent_subrequests >= MAX_SUBREQUESTS_PER_SHARD {
+        if shard.sent_subrequests >= MAX_SUBREQUESTS_PER_SHARD || now >= self.plan.deadline {
             self.fail_if_none_open(shard_index, Reason::Shed);
             return;
         }
@@ -593,7 +596,16 @@
         if self.answered_shards + self.pending_shards < self.needed_shards {
             return Some(self.no_answer_verdict(Reason::LowCoverage, now, placement));
         }
-        deadline_passed.then_some(Verdict::Expired)
+        deadline_passed.then(|| self.expired_verdict(now, placement))
+    }
+
+    /// Returns the verdict at the deadline, which is a refusal if no target can have run the request.
+    fn expired_verdict(&self, now: Moment, placement: &Placement) -> Verdict {
+        if self.may_have_run() {
+            Verdict::Expired
+        } else {
+            self.no_answer_verdict(Reason::Shed, now, placement)
+        }
     }
 
     fn single_target_verdict(
@@ -609,13 +621,7 @@
             Progress::Failed(Failure::NoAnswer(reason)) => {
                 Some(self.no_answer_verdict(*reason, now, placement))
             }
-            Progress::Pending => deadline_passed.then(|| {
-                if self.may_have_run() {
-                    Verdict::Expired
-                } else {
-                    self.no_answer_verdict(Reason::Shed, now, placement)
-                }
-            }),
+            Progress::Pending => deadline_passed.then(|| self.expired_verdict(now, placement)),
         }
     }
 
@@ -685,7 +691,9 @@
             Outcome::Failed(_) | Outcome::Lost(_) => Some(Observation::Failed),
             Outcome::NotRun(reply::FailureCause::Misdirected) => Some(Observation::Misdirected),
             Outcome::NotRun(reply::FailureCause::Unreachable) => Some(Observation::Unreachable),
-            Outcome::NotRun(reply::FailureCause::Unregistered) => Some(Observation::NoResult),
+            Outcome::NotRun(reply::FailureCause::Unregistered | reply::FailureCause::Unsent) => {
+                Some(Observation::NoResult)
+            }
             Outcome::NotRun(_) => Some(Observation::Refused),
         }
     }
--- a/src/request/reply.rs
+++ b/src/request/reply.rs
@@ -41,10 +41,12 @@
     /// The address belongs to another target, which refused the request.
     #[display("misdirected")]
     Misdirected,
-    /// No connection to the target could be made before the deadline, or a new one ended before the request
-    /// was written to it.
+    /// No connection to the target could be made, or a new one ended before the request was written to it.
     #[display("unreachable")]
     Unreachable,
+    /// The deadline passed before the request was written.
+    #[display("unsent")]
+    Unsent,
     /// The target was removed from the registry before the request was sent.
     #[display("gone")]
     Unregistered,
--- a/tests/fanout.rs
+++ b/tests/fanout.rs
@@ -478,3 +478,36 @@
         driver.verdict
     );
 }
+
+/// Guards against 504 for a request that no target has run, which tells its caller nothing: a node that was
+/// paused learns after the deadline that none of its subrequests was written.
+#[rstest]
+#[case::none_written(0, true)]
+#[case::one_written(1, false)]
+fn refuses_request_if_no_subrequest_was_written_before_deadline(
+    #[case] written: usize,
+    #[case] refused: bool,
+) {
+    let mut driver = RequestDriver::open(
+        Kind::Idempotent,
+        gather(4, 0.75),
+        4,
+        placement_with_pairs(4),
+    );
+    driver.start();
+    let resumed = at(2_700);
+    for subrequest in 0..4 {
+        let outcome = if subrequest < written {
+            Outcome::Lost(FailureCause::Timeout)
+        } else {
+            Outcome::NotRun(FailureCause::Unsent)
+        };
+        driver.end(subrequest, outcome, resumed);
+    }
+    driver.step(Event::Tick, resumed);
+    assert_eq!(driver.sent.len(), 4, "sent after the deadline");
+    let verdict = driver.verdict.as_ref();
+    let is_refusal = verdict.is_some_and(|it| matches!(it, Verdict::Refused { .. }));
+    assert!(verdict.is_some());
+    assert_eq!(is_refusal, refused, "{verdict:?}");
+}
