Take a copy of the store for complete only up to its first page

Cause: since standby nodes no longer watch the store once after their listing, a change on an earlier page that fell between two pages could stay unknown: the newest change, on a later page, equalled that of the other nodes, so nothing was fetched until the next change (listing_with_newer_change_on_later_page_is_completed_by_another_node shows the copy).

Change: a node fetches from another one as long as it lacks any change up to that node's newest one.

--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -455,9 +455,9 @@
             return;
         }
         let now = self.shared.clock.now();
-        let latest = self.latest_change();
+        let is_behind = heartbeat.revision > self.complete_revision();
         let trusts_peers = !self.is_watching() || !self.store_available;
-        if heartbeat.revision > latest {
+        if is_behind {
             let is_local = |node: &Node| node.data_centre == own.data_centre;
             let since = self
                 .newer_peer
@@ -472,7 +472,7 @@
                     revision: heartbeat.revision,
                 });
             }
-        } else if heartbeat.revision == latest && trusts_peers && heartbeat.fresh {
+        } else if heartbeat.revision == self.latest_change() && trusts_peers && heartbeat.fresh {
             // A heartbeat that waited while this process was paused proves nothing about the time since.
             let arrived_at = self.shared.estimate_arrival(now);
             self.shared.extend_freshness(arrived_at + FRESHNESS_PERIOD);
@@ -492,6 +492,17 @@
         latest.max().unwrap_or_default()
     }
 
+    /// Returns the revision up to which this node has every change. It may be lower than that of the last change,
+    /// because the pages of a listing are not one snapshot.
+    fn complete_revision(&self) -> Revision {
+        let mirrors = self.shared.mirrors();
+        mirrors
+            .iter()
+            .map(Mirror::revision)
+            .min()
+            .unwrap_or_default()
+    }
+
     /// Sends a heartbeat to the nodes that are due in the round, and to seed hosts without a known node.
     fn send_heartbeats(&self, round: u32) {
         let now = self.shared.clock.now();
@@ -596,11 +607,9 @@
         }
         let watches = self.is_watching();
         self.watch_confirmed &= watches;
-        let mirrors = self.shared.mirrors();
         // All watches start from one revision, up to which every mirror must be complete.
-        let known = mirrors.iter().map(Mirror::revision).min();
-        drop(mirrors);
-        self.follower.set_watching(known.filter(|_| watches));
+        let known = self.complete_revision();
+        self.follower.set_watching(watches.then_some(known));
     }
 
     /// Records which nodes serve callers and whether this node watches the store, and logs the changes.
@@ -641,9 +650,9 @@
     /// A node without settings, while the store is unavailable, asks a seed host for them. The number of the
     /// heartbeat round selects the host, so that a host may be skipped while a fetch is running.
     fn fetch_if_behind(&mut self, myself: &ActorRef<Message>, now: Moment) {
-        let latest = self.latest_change();
+        let complete = self.complete_revision();
         self.newer_peer
-            .take_if(|newer_peer| newer_peer.revision <= latest);
+            .take_if(|newer_peer| newer_peer.revision <= complete);
         let without_settings = self.shared.route_table.load().is_none() && !self.store_available;
         let source_address = match &self.newer_peer {
             Some(newer_peer) if self.is_fetch_due(newer_peer, now) => Some(newer_peer.node.peer),
--- a/tests/mirror.rs
+++ b/tests/mirror.rs
@@ -147,3 +147,21 @@
         Export::Changes { .. }
     ));
 }
+
+/// The pages of a listing are not one snapshot. Guards against a node that takes its copy for complete because a
+/// later page has the newest change, while an earlier page lacks one.
+#[test]
+fn listing_with_newer_change_on_later_page_is_completed_by_another_node() {
+    let mut other = Mirror::open("");
+    other.replace(vec![item("a", "1", 3), item("z", "1", 4)], Revision(5));
+    other.apply(Event::Put(item("a", "2", 7)));
+    other.apply(Event::Put(item("z", "2", 9)));
+    other.advance(Revision(9));
+    let mut mirror = Mirror::open("");
+    mirror.replace(vec![item("a", "1", 3), item("z", "2", 9)], Revision(5));
+    assert_eq!(mirror.latest_change(), other.latest_change());
+    assert!(mirror.revision() < other.latest_change());
+    let changes = mirror.import(other.export(mirror.revision()));
+    assert_eq!(changes, [put_change("a", "2")]);
+    assert_eq!(mirror.revision(), Revision(9));
+}
