Log and count the limits that targets state on their requests

Logs and meters could not tell whether nodes read the limit at all, whether hedges exceed it, or whether one node sends too much. The platform's header is decoded at the boundary into connection::outbound::RateLimit; only answers that are certainly the target's count, and an answer without a limit lifts only one that was stated before its subrequest was sent. Nothing is decided by it yet.

--- a/src/connection/outbound.rs
+++ b/src/connection/outbound.rs
@@ -101,6 +101,21 @@
     pub cold_for: Option<Duration>,
     /// The keep-alive time-out of the target, if it reports one.
     pub keep_alive: Option<Duration>,
+    /// What the target says about the rate of requests that it takes.
+    pub rate_limit: RateLimit,
+}
+
+/// What an answer says about the rate of requests that its target takes from all nodes together.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum RateLimit {
+    /// There is no answer that could tell.
+    Unknown,
+    /// The answer states a limit that cannot be read.
+    Unreadable,
+    /// The target states no limit.
+    Unlimited,
+    /// The target takes this many requests per second; finite and not negative.
+    PerSecond(f64),
 }
 
 /// How requests to targets and their answers are encoded.
@@ -326,6 +341,7 @@
             outcome,
             cold_for: None,
             keep_alive: None,
+            rate_limit: RateLimit::Unknown,
         }
     }
 }
--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -588,8 +588,14 @@
     fn update_gauges(&self, now: Moment) {
         let meters = &self.shared.meters;
         let count = |number: usize| i64::try_from(number).unwrap_or(i64::MAX);
-        let targets = self.shared.placement().registry.targets().count();
-        meters.targets.set(count(targets));
+        let placement = self.shared.placement();
+        meters
+            .targets
+            .set(count(placement.registry.targets().count()));
+        meters
+            .limited_targets
+            .set(count(placement.limited_targets()));
+        drop(placement);
         meters
             .nodes
             .set(count(self.shared.roster().live_nodes(now).count()));
--- a/src/process/entry/serve.rs
+++ b/src/process/entry/serve.rs
@@ -13,8 +13,8 @@
 use super::report::{Report, id_text, millis_rounded};
 use super::{Entry, IncomingRequest, Shared};
 use crate::connection::head::Place;
-use crate::connection::outbound::{Call, Endpoint, Protocol};
-use crate::process::placement::{Observation, Stats};
+use crate::connection::outbound::{Call, Endpoint, Protocol, RateLimit};
+use crate::process::placement::{LimitChange, Observation, Stats};
 use crate::process::registry::TargetKey;
 use crate::request::fanout::{
     Action, Event, Fanout, Plan, REPLY_MARGIN, REPLY_MARGIN_OPEN_CONNECTION,
@@ -264,6 +264,7 @@
         if let Some(cold) = result.cold_for {
             shared.placement().registry.set_cold(self.target, cold, now);
         }
+        self.record_rate_limit(&endpoint, result.rate_limit, start, now);
         if matches!(result.outcome, Outcome::Succeeded(_)) {
             shared.record_latency(&self.route, took, now);
         }
@@ -272,10 +273,48 @@
         (self.index, result.outcome)
     }
 
+    /// Records what the answer says about the target's rate limit, and logs changes of it.
+    fn record_rate_limit(
+        &self,
+        endpoint: &Endpoint,
+        rate_limit: RateLimit,
+        sent_at: Moment,
+        now: Moment,
+    ) {
+        let shared = &self.shared;
+        let mut placement = shared.placement();
+        let change = placement.record_rate_limit(self.target, rate_limit, sent_at, now);
+        drop(placement);
+        if change.is_none() && rate_limit != RateLimit::Unreadable {
+            return;
+        }
+        if !shared.log_limits().subrequests.admit(now) {
+            return;
+        }
+        match change {
+            Some(LimitChange::Stated { per_second }) => log::info!(
+                target_name:% = endpoint.name, service:% = self.service, per_second;
+                "target states a limit on its requests"
+            ),
+            Some(LimitChange::Lifted { after, sent }) => log::info!(
+                target_name:% = endpoint.name, service:% = self.service, sent,
+                after_ms = millis_rounded(after);
+                "target states no limit any more"
+            ),
+            None => log::warn!(
+                target_name:% = endpoint.name, service:% = self.service;
+                "limit of target unreadable; the last one stays"
+            ),
+        }
+    }
+
     /// Counts the subrequest, and logs it if the request is sampled or the subrequest is not the first one.
     fn log_sent(&self, call: &Call, endpoint: &Endpoint, stats: Option<Stats>, now: Moment) {
         let cause = cause_name(self.cause);
         self.shared.meters.count_subrequest(cause);
+        if stats.is_some_and(|stats| stats.rate_limit.is_some()) {
+            self.shared.meters.count_limited_subrequest(cause);
+        }
         let is_logged = self.sampled || self.cause != wire::Cause::First;
         let (Some(stats), true) = (stats, is_logged) else {
             return;
--- a/src/process/meters.rs
+++ b/src/process/meters.rs
@@ -54,6 +54,8 @@
     pub requests: Family<OutcomeLabels, Counter>,
     /// Subrequests that were sent, by cause.
     pub subrequests: Family<CauseLabel, Counter>,
+    /// Subrequests that were sent to targets that state a limit on their requests, by cause.
+    pub limited_subrequests: Family<CauseLabel, Counter>,
     /// Subrequests that ended, by outcome and reason.
     pub subrequest_ends: Family<OutcomeLabels, Counter>,
     /// Calls to the platform's store, by operation and result.
@@ -70,6 +72,8 @@
     pub store_up: Gauge,
     /// Targets in the registry.
     pub targets: Gauge,
+    /// Targets that state a limit on their requests.
+    pub limited_targets: Gauge,
     /// Other nodes whose heartbeats arrived lately.
     pub nodes: Gauge,
     /// Requests that are being served.
@@ -91,6 +95,7 @@
             registry: Arc::default(),
             requests: Family::default(),
             subrequests: Family::default(),
+            limited_subrequests: Family::default(),
             subrequest_ends: Family::default(),
             store_calls: Family::default(),
             target_probes: Family::default(),
@@ -99,6 +104,7 @@
             settings_version: Gauge::default(),
             store_up: Gauge::default(),
             targets: Gauge::default(),
+            limited_targets: Gauge::default(),
             nodes: Gauge::default(),
             running_requests: Gauge::default(),
             request_time: latency_histogram(),
@@ -117,6 +123,11 @@
             "Subrequests sent, by cause",
             self.subrequests.clone(),
         );
+        registry.register(
+            "limited_legs",
+            "Subrequests sent to targets that state a limit, by cause",
+            self.limited_subrequests.clone(),
+        );
         registry.register(
             "leg_ends",
             "Subrequests by their end",
@@ -153,6 +164,11 @@
             self.store_up.clone(),
         );
         registry.register("targets", "Targets that take work", self.targets.clone());
+        registry.register(
+            "limited_targets",
+            "Targets that state a limit on their requests",
+            self.limited_targets.clone(),
+        );
         registry.register("nodes", "Other nodes heard lately", self.nodes.clone());
         registry.register(
             "running_requests",
@@ -192,6 +208,13 @@
         self.subrequests.get_or_create(&CauseLabel { cause }).inc();
     }
 
+    /// Counts a subrequest that was sent to a target that states a limit on its requests.
+    pub fn count_limited_subrequest(&self, cause: &'static str) {
+        self.limited_subrequests
+            .get_or_create(&CauseLabel { cause })
+            .inc();
+    }
+
     /// Counts a subrequest that ended and records the time it took.
     pub fn record_subrequest(&self, outcome: &'static str, reason: String, took: Duration) {
         self.subrequest_ends
--- a/src/process/placement.rs
+++ b/src/process/placement.rs
@@ -15,6 +15,7 @@
 use super::budget::Budget;
 use super::registry::{Effect, Effects, Registry, Target, TargetKey};
 use super::warmup::Warmup;
+use crate::connection::outbound::RateLimit;
 use crate::time::Moment;
 use crate::version::item::TargetReport;
 use crate::version::route::Table;
@@ -98,6 +99,38 @@
     probe_backoff: Duration,
     /// Until when the target gets no subrequests because it closed a connection.
     avoid_until: Moment,
+    /// The limit on the rate of requests that the target states, while it does.
+    rate_limit: Option<StatedLimit>,
+}
+
+/// A limit on the rate of requests that a target states in its answers.
+#[derive(Debug, Clone, Copy)]
+struct StatedLimit {
+    /// The requests per second that the target takes from all nodes together.
+    per_second: f64,
+    /// When an answer stated a limit first, after others that did not.
+    since: Moment,
+    /// When the last answer arrived that stated it.
+    confirmed_at: Moment,
+    /// The subrequests of this node since then.
+    sent: u32,
+}
+
+/// A change of whether a target states a limit on the rate of requests.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum LimitChange {
+    /// The target states a limit, and did not before.
+    Stated {
+        /// The requests per second that the target takes from all nodes together.
+        per_second: f64,
+    },
+    /// The target states no limit any more.
+    Lifted {
+        /// For how long it has stated one.
+        after: Duration,
+        /// The subrequests that this node sent to it meanwhile.
+        sent: u32,
+    },
 }
 
 impl Health {
@@ -113,6 +146,7 @@
             next_probe: Moment::NEVER,
             probe_backoff: Duration::ZERO,
             avoid_until: Moment::ZERO,
+            rate_limit: None,
         }
     }
 
@@ -165,6 +199,8 @@
     pub error_rate: f64,
     /// For how long the target has given no answer; `None` while it answers.
     pub stalled_for: Option<Duration>,
+    /// The requests per second that the target takes from all nodes together; `None` if it states no limit.
+    pub rate_limit: Option<f64>,
 }
 
 /// Preference class of a target; targets of a lower class are chosen first.
@@ -308,6 +344,9 @@
         }
         let health = self.health.get_mut(key)?;
         health.in_flight += 1;
+        if let Some(limit) = &mut health.rate_limit {
+            limit.sent = limit.sent.saturating_add(1);
+        }
         Some(key)
     }
 
@@ -390,6 +429,49 @@
         }
     }
 
+    /// Records what the answer to a subrequest says about the target's rate limit. `sent_at` is when the
+    /// subrequest was sent: an answer without a limit lifts only one that was stated before.
+    pub fn record_rate_limit(
+        &mut self,
+        key: TargetKey,
+        rate_limit: RateLimit,
+        sent_at: Moment,
+        now: Moment,
+    ) -> Option<LimitChange> {
+        let stated = &mut self.health.get_mut(key)?.rate_limit;
+        match (rate_limit, &mut *stated) {
+            (RateLimit::PerSecond(per_second), Some(limit)) => {
+                limit.per_second = per_second;
+                limit.confirmed_at = now;
+                None
+            }
+            (RateLimit::PerSecond(per_second), None) => {
+                *stated = Some(StatedLimit {
+                    per_second,
+                    since: now,
+                    confirmed_at: now,
+                    sent: 0,
+                });
+                Some(LimitChange::Stated { per_second })
+            }
+            (RateLimit::Unlimited, Some(limit)) if limit.confirmed_at <= sent_at => {
+                let lifted = LimitChange::Lifted {
+                    after: now.since(limit.since),
+                    sent: limit.sent,
+                };
+                *stated = None;
+                Some(lifted)
+            }
+            _ => None,
+        }
+    }
+
+    /// Returns the number of targets that state a limit on their rate of requests.
+    pub fn limited_targets(&self) -> usize {
+        let limited = self.health.values().filter(|it| it.rate_limit.is_some());
+        limited.count()
+    }
+
     /// Returns what this node has observed of a target, or `None` if the target is unknown.
     pub fn stats(&self, key: TargetKey, now: Moment) -> Option<Stats> {
         let health = self.health.get(key)?;
@@ -398,6 +480,7 @@
             slowness: health.slowness,
             error_rate: health.error_rate,
             stalled_for: health.stalled_since.map(|since| now.since(since)),
+            rate_limit: health.rate_limit.map(|limit| limit.per_second),
         })
     }
 
