--- a/standins/src/platform/target.rs
+++ b/standins/src/platform/target.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -137,6 +137,8 @@
     /// Whether the target ran the request, that is, neither refused it nor found it addressed to another
     /// target.
     pub ran: bool,
+    /// When the request had arrived completely.
+    pub at: Instant,
 }
 
 /// A running target; dropping it closes all its connections.
@@ -155,6 +157,8 @@
     spec: Spec,
     behaviour: Mutex<Behaviour>,
     service_time: Mutex<Duration>,
+    /// The requests per second that the target's answers name as its limit, if any.
+    rate_limit: Mutex<Option<f64>>,
     journal: Mutex<Vec<Arrival>>,
     open_connections: AtomicUsize,
     /// The number of requests whose connection the sender closed while they ran.
@@ -179,6 +183,7 @@
             spec: spec.clone(),
             behaviour: Mutex::default(),
             service_time: Mutex::new(spec.service_time),
+            rate_limit: Mutex::default(),
             journal: Mutex::default(),
             open_connections: AtomicUsize::new(0),
             abandoned_requests: AtomicUsize::new(0),
@@ -235,6 +240,12 @@
         *lock(&self.shared.service_time) = time;
     }
 
+    /// Sets the requests per second that further answers name as the limit of the target, or `None` for answers
+    /// without a limit. The target itself runs any number of requests.
+    pub fn set_rate_limit(&self, per_second: Option<f64>) {
+        *lock(&self.shared.rate_limit) = per_second;
+    }
+
     /// Returns all requests that the target received, in order of arrival.
     pub fn journal(&self) -> Vec<Arrival> {
         lock(&self.shared.journal).clone()
@@ -308,6 +319,7 @@
             body: request.body.clone(),
             deadline_ms: header("x-deadline-ms").and_then(|it| it.parse().ok()),
             ran: !foreign && behaviour != Behaviour::Refuse,
+            at: Instant::now(),
         });
         if foreign {
             let instance = format!("X-Instance-Id: {}\r\n", shared.spec.id);
@@ -332,7 +344,9 @@
         let body = &shared.spec.body;
         let signature = format!("X-Response-Seal: {}.{id}\r\n", shared.spec.id);
         let echo = format!("X-Request-Id: {id}\r\n");
-        let headers = format!("{signature}{echo}");
+        let rate_limit = *lock(&shared.rate_limit);
+        let limit = rate_limit.map(|limit| format!("Server-Limit: {limit}\r\n"));
+        let headers = format!("{signature}{echo}{}", limit.unwrap_or_default());
         match behaviour {
             Behaviour::Answer | Behaviour::Refuse => {
                 respond(&mut stream, "200 OK", &headers, body).await?;
