Keep to the limits that targets state, over all nodes together

Cause: no node acted on the limit that targets state in their answers. The choice of targets saw latency and errors only, and a target may be in need without either. Class: a bound stated while running that all nodes share, which nothing in the design carried from the answer to the choice of the target.

The number of senders follows from the limit, so that the bound holds for any number of nodes; other nodes find out now and then whether the limit still holds. A node that knows no other yet no longer takes the whole rate, of a cold target neither. Requests that no target has room for are refused with target_limit and the time of the next request, hedges spare limited targets.

--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -444,7 +444,9 @@
         let names = self.membership.serving_nodes.iter().chain([own]);
         let names: Vec<String> = names.cloned().collect();
         let is_settled = now.since(Moment::ZERO) >= DISCOVERY_PERIOD;
-        self.shared.placement().set_nodes(&names, is_settled);
+        let mut placement = self.shared.placement();
+        placement.set_nodes(&names, is_settled, now);
+        placement.pacing.set_serving(self.membership.serves);
     }
 
     /// Records a heartbeat. A newer revision than this node's makes it fetch the changes. An equal one from a
--- a/src/process/placement.rs
+++ b/src/process/placement.rs
@@ -13,12 +13,13 @@
 use slotmap::SecondaryMap;
 
 use super::budget::Budget;
+use super::pacing::{Pacing, Rate};
 use super::registry::{Effect, Effects, Registry, Target, TargetKey};
-use super::warmup::Warmup;
 use crate::connection::outbound::RateLimit;
 use crate::time::Moment;
 use crate::version::item::TargetReport;
 use crate::version::route::Table;
+use crate::wire::Cause;
 
 /// The weight of one latency in the moving average of a target's slowness.
 const SLOWNESS_WEIGHT: f64 = 0.25;
@@ -67,8 +68,8 @@
     pub registry: Registry,
     /// The budget for hedges, retries and other extra subrequests.
     pub budget: Budget,
-    /// The rate limits of cold targets.
-    pub warmup: Warmup,
+    /// This node's part of the rates of cold targets and of targets that state a limit.
+    pub pacing: Pacing,
     data_centre: Arc<str>,
     health: SecondaryMap<TargetKey, Health>,
     node_count: usize,
@@ -242,7 +243,7 @@
         Self {
             registry: Registry::default(),
             budget,
-            warmup: Warmup::open(node),
+            pacing: Pacing::open(node),
             data_centre,
             health: SecondaryMap::new(),
             node_count: ASSUMED_NODES_AT_START,
@@ -252,7 +253,7 @@
 
     /// Sets the nodes that share the limits. `discovery_complete` tells whether every node has had time to be
     /// discovered; until then at least `ASSUMED_NODES_AT_START` nodes are assumed.
-    pub fn set_nodes(&mut self, nodes: &[String], discovery_complete: bool) {
+    pub fn set_nodes(&mut self, nodes: &[String], discovery_complete: bool, now: Moment) {
         let nodes_min = if discovery_complete {
             1
         } else {
@@ -260,7 +261,7 @@
         };
         self.node_count = nodes.len().max(nodes_min);
         self.budget.set_node_count(self.node_count);
-        self.warmup.set_nodes(nodes);
+        self.pacing.set_nodes(nodes, nodes_min, now);
     }
 
     /// Adds a target or updates its report.
@@ -291,25 +292,29 @@
         (total / u32::try_from(self.node_count).unwrap_or(u32::MAX)).max(1)
     }
 
-    /// Returns whether a target of the service takes work now, that is, can be reached and is not avoided.
-    pub fn has_available_target(&self, service: &str, now: Moment) -> bool {
+    /// Returns whether a target of the service takes work by a moment, that is, can be reached, is not avoided and
+    /// has room within the limit that it states.
+    pub fn has_available_target(&self, service: &str, by: Moment, now: Moment) -> bool {
         self.available_at(service, now)
-            .is_some_and(|moment| moment <= now)
+            .is_some_and(|moment| moment <= by)
     }
 
     /// Chooses a target that is not in `tried` and may get a subrequest now, the one with the lowest cost in
     /// the best class, and counts a subrequest to it.
+    ///
+    /// Hedges do not go to targets that state a limit, whose few requests are worth more as first subrequests.
     pub fn pick(
         &mut self,
         table: &Table,
         service: &str,
         tried: &[TargetKey],
+        cause: Cause,
         expected: Duration,
         now: Moment,
     ) -> Option<TargetKey> {
         let connections = self.connection_limit(table, service);
-        let rate = table.service(service).and_then(|known| known.cold_rate);
-        let mut best: Option<(Class, f64, TargetKey)> = None;
+        let cold_rate = table.service(service).and_then(|known| known.cold_rate);
+        let mut best: Option<(Class, f64, TargetKey, Option<Rate>)> = None;
         for (key, target) in self.registry.usable(service) {
             if tried.contains(&key) {
                 continue;
@@ -322,25 +327,27 @@
             if health.unreachable || health.avoid_until > now || health.in_flight >= in_flight_max {
                 continue;
             }
-            if target.cold_until > now
-                && let Some(rate) = rate
-                && !self.warmup.may_send(&target.name, rate, now)
-            {
+            if cause == Cause::Hedge && health.rate_limit.is_some() {
+                continue;
+            }
+            let rate = bounded_rate(health, target, cold_rate, now);
+            if rate.is_some_and(|rate| !self.pacing.may_send(&target.name, rate, now)) {
                 continue;
             }
             let class = health.class();
             health.decay(now);
             let cost = estimated_cost(health, target, &self.data_centre, expected)
                 * (1.0 + COST_JITTER * self.random.random::<f64>());
-            if best.is_none_or(|(best_class, best_cost, _)| (class, cost) < (best_class, best_cost))
-            {
-                best = Some((class, cost, key));
+            let is_better = best
+                .is_none_or(|(best_class, best_cost, ..)| (class, cost) < (best_class, best_cost));
+            if is_better {
+                best = Some((class, cost, key, rate));
             }
         }
-        let (_, _, key) = best?;
-        let target = self.registry.get(key)?;
-        if target.cold_until > now && rate.is_some() {
-            self.warmup.record_sent(&target.name, now);
+        let (_, _, key, rate) = best?;
+        if rate.is_some() {
+            let target = self.registry.get(key)?;
+            self.pacing.record_sent(&target.name, now);
         }
         let health = self.health.get_mut(key)?;
         health.in_flight += 1;
@@ -438,6 +445,7 @@
         sent_at: Moment,
         now: Moment,
     ) -> Option<LimitChange> {
+        let name = &self.registry.get(key)?.name;
         let stated = &mut self.health.get_mut(key)?.rate_limit;
         match (rate_limit, &mut *stated) {
             (RateLimit::PerSecond(per_second), Some(limit)) => {
@@ -460,6 +468,7 @@
                     sent: limit.sent,
                 };
                 *stated = None;
+                self.pacing.forget(name);
                 Some(lifted)
             }
             _ => None,
@@ -489,17 +498,50 @@
     pub fn available_at(&self, service: &str, now: Moment) -> Option<Moment> {
         self.registry
             .usable(service)
-            .filter_map(|(key, _)| self.health.get(key))
-            .map(|health| {
-                if health.unreachable {
+            .filter_map(|(key, target)| Some((target, self.health.get(key)?)))
+            .map(|(target, health)| {
+                let reachable_at = if health.unreachable {
                     // A probe that is due now has no result yet.
                     health.next_probe.max(now + PROBE_DURATION_MAX)
                 } else {
                     health.avoid_until.max(now)
-                }
+                };
+                let allowed_at = health.rate_limit.map_or(now, |limit| {
+                    let rate = Rate::stated(limit.per_second);
+                    self.pacing.next_send(&target.name, rate, now)
+                });
+                reachable_at.max(allowed_at)
             })
             .min()
     }
+
+    /// Returns whether a target of the service that can be reached states a limit on its requests.
+    pub fn is_limited(&self, service: &str) -> bool {
+        self.registry
+            .usable(service)
+            .filter_map(|(key, _)| self.health.get(key))
+            .any(|health| health.rate_limit.is_some() && !health.unreachable)
+    }
+}
+
+/// Returns the rate of requests to the target that all nodes share, if it is bounded: because the target states
+/// a limit, or because it is cold and its service has a rate for cold targets.
+fn bounded_rate(
+    health: &Health,
+    target: &Target,
+    cold_rate: Option<f64>,
+    now: Moment,
+) -> Option<Rate> {
+    let stated = health
+        .rate_limit
+        .map(|limit| Rate::stated(limit.per_second));
+    let cold = cold_rate
+        .filter(|_| target.cold_until > now)
+        .map(Rate::cold);
+    match (stated, cold) {
+        (Some(stated), Some(cold)) => Some(stated.and(cold)),
+        (stated, cold) => stated.or(cold),
+    }
 }
 
 /// Estimates the cost of a subrequest in seconds: the time to an answer, plus penalties for errors and for
--- a/src/request/fanout.rs
+++ b/src/request/fanout.rs
@@ -310,7 +310,13 @@
     /// Returns a refusal if too few services have a target for the least coverage.
     fn refusal_if_infeasible(&self, now: Moment, placement: &Placement) -> Option<Verdict> {
         let services = || self.shards.iter().map(|shard| &*shard.service);
-        let available = services().filter(|service| placement.has_available_target(service, now));
+        // A query that has to wait for several targets would take from others what they could use now.
+        let available_by = match self.record_limit {
+            None => now.max(self.capacity_wait_end()),
+            Some(_) => now,
+        };
+        let available =
+            services().filter(|it| placement.has_available_target(it, available_by, now));
         if available.count() >= self.needed_shards {
             return None;
         }
@@ -320,8 +326,13 @@
         let wait = available_again_at
             .map(|moment| moment.map_or(RETRY_AFTER_NO_TARGET, |moment| now.until(moment)))
             .max();
+        let reason = if services().any(|service| placement.is_limited(service)) {
+            Reason::TargetLimit
+        } else {
+            Reason::NoTarget
+        };
         Some(Verdict::Refused {
-            reason: Reason::NoTarget,
+            reason,
             retry_after: wait.unwrap_or_default().max(RETRY_AFTER_SHED),
         })
     }
@@ -350,13 +361,13 @@
             return;
         }
         let (table, expected) = (&self.plan.table, self.plan.expected_latency);
-        let target = placement.pick(table, &service, &shard.tried, expected, now);
+        let cause = if shard.tried.is_empty() && !is_extra {
+            Cause::First
+        } else {
+            Cause::Retry
+        };
+        let target = placement.pick(table, &service, &shard.tried, cause, expected, now);
         if let Some(target) = target {
-            let cause = if self.shards[shard_index].tried.is_empty() && !is_extra {
-                Cause::First
-            } else {
-                Cause::Retry
-            };
             self.dispatch(shard_index, target, cause, now, actions);
             self.extra.retries += u32::from(is_extra);
             return;
@@ -367,26 +378,49 @@
         match placement.available_at(&service, now) {
             // All targets are busy or have refused the request; they may have capacity shortly.
             Some(moment) if moment <= now => {
-                let nothing_sent = self.subrequests.is_empty();
-                let capacity_wait = self.plan.route.latency_objective / CAPACITY_WAIT_DIVISOR;
-                if nothing_sent && now + BUSY_RETRY_DELAY > self.plan.sent_at + capacity_wait {
-                    self.fail_if_none_open(shard_index, Reason::Shed);
-                    return;
-                }
-                let shard = &mut self.shards[shard_index];
-                shard.tried.clear();
                 let late = now >= self.plan.sent_at + self.plan.route.latency_objective;
-                shard.retry_at = now
-                    + if late {
-                        LATE_BUSY_RETRY_DELAY
-                    } else {
-                        BUSY_RETRY_DELAY
-                    };
+                let delay = if late {
+                    LATE_BUSY_RETRY_DELAY
+                } else {
+                    BUSY_RETRY_DELAY
+                };
+                self.wait_for_capacity(shard_index, now + delay, now, Reason::Shed);
+            }
+            Some(moment) if placement.is_limited(&service) => {
+                self.wait_for_capacity(shard_index, moment, now, Reason::TargetLimit);
             }
             _ => self.fail_if_none_open(shard_index, Reason::NoTarget),
         }
     }
 
+    /// Schedules the next attempt to send a shard's subrequest, or fails the shard with the reason if that is
+    /// later than the request may wait.
+    fn wait_for_capacity(
+        &mut self,
+        shard_index: usize,
+        retry_at: Moment,
+        now: Moment,
+        reason: Reason,
+    ) {
+        let latest = if self.subrequests.is_empty() {
+            self.capacity_wait_end().min(self.plan.deadline)
+        } else {
+            self.plan.deadline
+        };
+        if retry_at.max(now + BUSY_RETRY_DELAY) > latest {
+            self.fail_if_none_open(shard_index, reason);
+            return;
+        }
+        let shard = &mut self.shards[shard_index];
+        shard.tried.clear();
+        shard.retry_at = retry_at;
+    }
+
+    /// Returns until when a request that has sent no subrequest waits for capacity.
+    fn capacity_wait_end(&self) -> Moment {
+        self.plan.sent_at + self.plan.route.latency_objective / CAPACITY_WAIT_DIVISOR
+    }
+
     fn dispatch(
         &mut self,
         shard_index: usize,
@@ -543,11 +577,12 @@
             return;
         }
         let (table, expected) = (&self.plan.table, self.plan.expected_latency);
-        let target = placement.pick(table, &service, &shard.tried, expected, now);
+        let (tried, cause) = (&shard.tried, Cause::Hedge);
+        let target = placement.pick(table, &service, tried, cause, expected, now);
         if let Some(target) = target {
             self.extra.hedges += 1;
             self.shards[shard_index].next_needs_budget = true;
-            self.dispatch(shard_index, target, Cause::Hedge, now, actions);
+            self.dispatch(shard_index, target, cause, now, actions);
         } else {
             placement.budget.refund(&service);
         }
--- a/src/request/reply.rs
+++ b/src/request/reply.rs
@@ -110,6 +110,9 @@
     /// A service has no target that takes work.
     #[display("no_target")]
     NoTarget,
+    /// The limits that the targets of a service state leave no room.
+    #[display("target_limit")]
+    TargetLimit,
     /// No target has capacity, or the shard has reached its limit on subrequests.
     #[display("shed")]
     Shed,
--- a/tests/entry_support/mod.rs
+++ b/tests/entry_support/mod.rs
@@ -101,7 +101,7 @@
 /// Returns a placement without targets in [`LOCAL`], which shares its bounds with one other node.
 pub fn placement(bound: Bound) -> Placement {
     let mut placement = Placement::open(Arc::from(LOCAL), Budget::open(bound, 2), "n1", 7);
-    placement.set_nodes(&["n1".to_owned(), "n2".to_owned()], true);
+    placement.set_nodes(&["n1".to_owned(), "n2".to_owned()], true, at(0));
     placement
 }
 
--- a/tests/fanout.rs
+++ b/tests/fanout.rs
@@ -12,6 +12,7 @@
 };
 use hyper::StatusCode;
 use hyper::header::{HeaderMap, HeaderValue};
+use redwinggrade::connection::outbound::RateLimit;
 use redwinggrade::process::budget::Bound;
 use redwinggrade::process::placement::{Observation, Placement};
 use redwinggrade::process::registry::TargetKey;
@@ -21,6 +22,7 @@
 use redwinggrade::request::reply::{Answer, FailureCause, Outcome, Reason, Verdict};
 use redwinggrade::time::Moment;
 use redwinggrade::version::route::{Destination, Kind};
+use redwinggrade::wire::Cause;
 use rstest::rstest;
 
 const HEDGE_DELAY_MS: u64 = 40;
@@ -219,6 +221,56 @@
     );
 }
 
+/// Guards against callers that wait for a target that must not get their request in time, and against a refusal
+/// where the wait is short.
+#[rstest]
+#[case::short_wait(100.0, None)]
+#[case::long_wait(2.0, Some(Reason::TargetLimit))]
+fn waits_for_target_at_its_limit_only_if_the_wait_is_short(
+    #[case] limit: f64,
+    #[case] refused: Option<Reason>,
+) {
+    let mut placement = placement(AMPLE_BOUND);
+    let target = add_target(
+        &mut placement,
+        "s0-home",
+        target_report("s0", LOCAL, 1_000),
+        at(0),
+    );
+    placement.record_rate_limit(target, RateLimit::PerSecond(limit), at(0), at(0));
+    let table = table(route(Kind::Idempotent, 2, single_target()), 1, None);
+    let taken = placement.pick(&table, "s0", &[], Cause::First, EXPECTED_LATENCY, at(0));
+    assert_eq!(taken, Some(target), "the request before takes the target");
+    let mut driver = RequestDriver::open(Kind::Idempotent, single_target(), 1, placement);
+    driver.start();
+    match (refused, &driver.verdict) {
+        (None, None) => {
+            let wake = driver.fanout.next_wake();
+            assert!(
+                wake > at(0) && wake <= at(37),
+                "within a quarter of the objective"
+            );
+            driver.step(Event::Tick, wake);
+            assert_eq!(driver.sent, [(0, target)]);
+        }
+        (
+            Some(expected),
+            Some(Verdict::Refused {
+                reason,
+                retry_after,
+            }),
+        ) => {
+            assert_eq!(*reason, expected);
+            assert_eq!(
+                *retry_after,
+                ms(1_000),
+                "two nodes share two requests a second"
+            );
+        }
+        (_, verdict) => panic!("{verdict:?}"),
+    }
+}
+
 /// Guards against waiting for a service that has no target.
 #[test]
 fn leaves_out_shard_without_target() {
@@ -407,7 +459,9 @@
 fn use_up_capacity(placement: &mut Placement, service: &str) -> Vec<TargetKey> {
     let table = table(route(Kind::Idempotent, 2, single_target()), 2, None);
     let mut taken = Vec::new();
-    while let Some(key) = placement.pick(&table, service, &[], EXPECTED_LATENCY, at(0)) {
+    while let Some(key) =
+        placement.pick(&table, service, &[], Cause::First, EXPECTED_LATENCY, at(0))
+    {
         taken.push(key);
     }
     taken
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -7,15 +7,17 @@
     AMPLE_BOUND, EXPECTED_LATENCY, LOCAL, REMOTE, add_target, add_target_pairs, at, gather, ms,
     placement, route, single_target, table, target_report,
 };
-use redwinggrade::process::placement::{Observation, Placement};
+use redwinggrade::connection::outbound::RateLimit;
+use redwinggrade::process::placement::{LimitChange, Observation, Placement};
 use redwinggrade::process::registry::{Effect, TargetKey};
 use redwinggrade::time::Moment;
 use redwinggrade::version::item::TargetReport;
 use redwinggrade::version::route::{Kind, Table};
+use redwinggrade::wire::Cause;
 use rstest::rstest;
 
 fn pick(placement: &mut Placement, table: &Table, now: Moment) -> Option<TargetKey> {
-    placement.pick(table, "s0", &[], EXPECTED_LATENCY, now)
+    placement.pick(table, "s0", &[], Cause::First, EXPECTED_LATENCY, now)
 }
 
 fn answered(millis: u64) -> Observation {
@@ -176,7 +178,7 @@
     let available_at = placement
         .available_at("s0", at(2))
         .expect("the service has a usable target");
-    assert!(available_at > at(2) && !placement.has_available_target("s0", at(2)));
+    assert!(available_at > at(2) && !placement.has_available_target("s0", at(2), at(2)));
     assert!(placement.due_probes(at(2)).is_empty());
     assert_eq!(placement.due_probes(available_at), [key]);
     placement.record_probe(key, false);
@@ -213,7 +215,7 @@
 #[test]
 fn assumes_many_nodes_until_discovery_is_complete() {
     let mut placement = placement(AMPLE_BOUND);
-    placement.set_nodes(&["n1".to_owned()], false);
+    placement.set_nodes(&["n1".to_owned()], false, at(0));
     let table = table(route(Kind::Idempotent, 2, single_target()), 1, None);
     assert_eq!(placement.connection_limit(&table, "s0"), 1);
 }
@@ -259,3 +261,49 @@
     placement.forget(key);
     assert!(placement.due_probes(at(10_000)).is_empty());
 }
+
+/// States a limit in an answer to a subrequest that was sent at `sent_at`.
+fn answer_with(
+    placement: &mut Placement,
+    key: TargetKey,
+    rate_limit: RateLimit,
+    sent_at: u64,
+    now: u64,
+) -> Option<LimitChange> {
+    placement.record_rate_limit(key, rate_limit, at(sent_at), at(now))
+}
+
+/// Guards against a limit that an answer lifts which the target gave before it stated the limit.
+#[test]
+fn keeps_limit_until_an_answer_to_a_later_subrequest_has_none() {
+    let mut placement = placement(AMPLE_BOUND);
+    let [home, _] = add_target_pairs(&mut placement, 1, at(0))[0];
+    let stated = answer_with(&mut placement, home, RateLimit::PerSecond(2.0), 0, 10);
+    assert_eq!(stated, Some(LimitChange::Stated { per_second: 2.0 }));
+    for unchanged in [RateLimit::Unknown, RateLimit::Unreadable] {
+        assert_eq!(answer_with(&mut placement, home, unchanged, 20, 30), None);
+    }
+    assert_eq!(
+        answer_with(&mut placement, home, RateLimit::Unlimited, 5, 40),
+        None
+    );
+    assert_eq!(placement.limited_targets(), 1);
+    let lifted = answer_with(&mut placement, home, RateLimit::Unlimited, 50, 60);
+    assert!(matches!(lifted, Some(LimitChange::Lifted { .. })));
+    assert_eq!(placement.limited_targets(), 0);
+}
+
+/// Guards against hedges that use up the few requests that a target in need takes.
+#[test]
+fn sends_no_hedge_to_a_target_that_states_a_limit() {
+    let mut placement = placement(AMPLE_BOUND);
+    let [home, away] = add_target_pairs(&mut placement, 1, at(0))[0];
+    let table = table(route(Kind::Idempotent, 2, single_target()), 1, None);
+    answer_with(&mut placement, away, RateLimit::PerSecond(20.0), 0, 1);
+    let mut pick_other = |cause| {
+        let picked = placement.pick(&table, "s0", &[home], cause, EXPECTED_LATENCY, at(2));
+        picked.inspect(|key| placement.observe(*key, answered(20), at(3)))
+    };
+    assert_eq!(pick_other(Cause::Hedge), None);
+    assert_eq!(pick_other(Cause::Retry), Some(away));
+}
