--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -261,12 +261,21 @@
                 events,
                 revision,
             } => {
+                let mut outdated = 0;
                 let changes = self.update_mirror(prefix, |mirror| {
+                    outdated = events.iter().filter(|it| mirror.is_outdated(it)).count();
                     let changes = events.into_iter().filter_map(|event| mirror.apply(event));
                     let changes = changes.collect();
                     mirror.advance(revision);
                     changes
                 });
+                if outdated > 0 {
+                    self.shared.meters.outdated_changes.inc_by(outdated as u64);
+                    log::warn!(
+                        outdated, revision = revision.0;
+                        "changes ignored; newer ones of their keys are known"
+                    );
+                }
                 self.apply_changes(changes, now);
                 self.shared.extend_freshness(answered_at + FRESHNESS_PERIOD);
                 self.watch_confirmed = true;
--- a/src/process/meters.rs
+++ b/src/process/meters.rs
@@ -64,6 +64,8 @@
     pub target_probes: Family<ProbeLabel, Counter>,
     /// Items of the store that could not be decoded.
     pub unreadable_items: Counter,
+    /// Changes from the store that were ignored, because newer ones of their keys were known.
+    pub outdated_changes: Counter,
     /// Log lines that were dropped because of their rate limit or because the queue was full.
     pub dropped_log_lines: Gauge,
     /// The version of the settings in force; zero before any are known.
@@ -100,6 +102,7 @@
             store_calls: Family::default(),
             target_probes: Family::default(),
             unreadable_items: Counter::default(),
+            outdated_changes: Counter::default(),
             dropped_log_lines: Gauge::default(),
             settings_version: Gauge::default(),
             store_up: Gauge::default(),
@@ -148,6 +151,11 @@
             "Items of the store that could not be read",
             self.unreadable_items.clone(),
         );
+        registry.register(
+            "outdated_changes",
+            "Changes from the store older than those known of their keys",
+            self.outdated_changes.clone(),
+        );
         registry.register(
             "dropped_log_lines",
             "Log lines above their rate or beyond the queue",
--- a/src/process/mirror.rs
+++ b/src/process/mirror.rs
@@ -111,6 +111,22 @@
         }
     }
 
+    /// Tells whether the event has no effect although it does not repeat the last change of its key that has been
+    /// applied: that change has a higher revision, or the same one with another value.
+    pub fn is_outdated(&self, event: &Event) -> bool {
+        let (key, revision, bytes) = match event {
+            Event::Put(item) => (&item.key, item.revision, Some(&item.value)),
+            Event::Removed { key, revision } => (key, *revision, None),
+        };
+        let written = self.items.get(key);
+        let known = written.map(|value| value.revision);
+        match known.max(self.removed.get(key).copied()) {
+            Some(known) if known == revision => written.map(|value| &value.bytes) != bytes,
+            Some(known) => known > revision,
+            None => false,
+        }
+    }
+
     /// Records that every change up to `revision` has been applied.
     pub fn advance(&mut self, revision: Revision) {
         self.revision = self.revision.max(revision);
