--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -8,6 +8,7 @@
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use hyper::body::Incoming;
+use hyper::header::HeaderValue;
 use hyper::{Method, Request, StatusCode};
 use serde::Deserialize;
 use serde_json::{Value, json};
@@ -55,8 +56,14 @@
     lease: u64,
 }
 
-#[derive(Debug, Default)]
+/// A copy of the data of a store, from which it can come back.
+#[derive(Debug, Clone)]
+pub struct Copy(Data);
+
+#[derive(Debug, Clone, Default)]
 struct Data {
+    /// How often the store has come back from an older copy.
+    restores: u64,
     revision: u64,
     items: BTreeMap<String, Item>,
     /// The changed keys with the revisions of their changes, oldest first.
@@ -184,6 +191,23 @@
         });
     }
 
+    /// Returns a copy of the present data.
+    pub fn copy(&self) -> Copy {
+        Copy(self.shared.data().clone())
+    }
+
+    /// Goes back to an older copy: what was written since is gone, revisions and lease ids are given out again, and
+    /// the era rises by one.
+    pub fn restore(&self, copy: &Copy) {
+        self.shared.update(|data| {
+            let restores = data.restores + 1;
+            let call_counts = std::mem::take(&mut data.call_counts);
+            *data = copy.0.clone();
+            data.restores = restores;
+            data.call_counts = call_counts;
+        });
+    }
+
     /// Returns the number of calls received, by operation.
     pub fn call_counts(&self) -> HashMap<&'static str, u64> {
         self.shared.data().call_counts.clone()
@@ -351,7 +375,12 @@
             Fault::Reset => return Err(Disconnect),
             Fault::Delay(time) => tokio::time::sleep(time).await,
         }
-        let reply = self.answer(request).await;
+        let mut reply = self.answer(request).await;
+        if let Ok(response) = &mut reply {
+            // The first era has the number 1.
+            let era = HeaderValue::from(self.shared.data().restores + 1);
+            response.headers_mut().insert("store-era", era);
+        }
         if fault == Fault::DropAnswer {
             return Err(Disconnect);
         }
@@ -442,7 +471,7 @@
         loop {
             let (events, revision) = {
                 let data = self.data();
-                if after < data.compacted_revision {
+                if after < data.compacted_revision || after > data.revision {
                     return error_response(StatusCode::GONE, "compacted");
                 }
                 (data.events(&prefix, after), data.revision)
