Order changes by the era of the store, and hold back what only an older copy shows

Cause: nodes order the changes of a key by the store's revision, and the store gave the revision of a lost change out again, so that nodes took the new change for the one they had. Class: a number that orders events within one life of its issuer, compared across lives. Elsewhere: lease ids, which are given out again too, so that a node could renew and at its stop revoke another node's lease; a watch that goes on after a revision of the life before; answers that confirm settings which were read in the life before. Ruled out by the log lines: a gap in the watches, and settings that are refused for their version.

Change: a revision holds the era in its upper bits, so that all comparisons hold across eras; watches of an earlier era list the store again; a lease belongs to its era; the confirmation of the settings ends with the era. The copy also lists targets that had left and lacks others: what only the copy shows is held back by process::reconciliation until its writers have had time to write again. A value that is listed again unchanged is no change any more, so that a target does not count as cold again.

--- a/src/connection/keyspace.rs
+++ b/src/connection/keyspace.rs
@@ -10,7 +10,28 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+/// The number of times that a store has come back from an older copy, from which it has gone on.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Display,
+    Serialize,
+    Deserialize,
+)]
+pub struct Era(pub u16);
+
 /// A revision of the store. It increases with each change of any key.
+///
+/// A store that comes back from an older copy gives the numbers of lost changes out again. The upper bits of a
+/// revision therefore hold the [`Era`], so that each later change still has a higher revision. In the first era, a
+/// revision equals its number.
 #[derive(
     Debug,
     Clone,
@@ -27,6 +48,27 @@
 )]
 pub struct Revision(pub u64);
 
+impl Revision {
+    /// The bits of the number that the store gives out; the remaining 16 hold the era.
+    const NUMBER_BITS: u32 = 48;
+
+    /// Returns the revision to which the store has given a number in an era.
+    pub const fn in_era(era: Era, number: u64) -> Self {
+        let number = number & ((1 << Self::NUMBER_BITS) - 1);
+        Self((era.0 as u64) << Self::NUMBER_BITS | number)
+    }
+
+    /// Returns the era in which the store has given out the revision.
+    pub const fn era(self) -> Era {
+        Era((self.0 >> Self::NUMBER_BITS) as u16)
+    }
+
+    /// Returns the number by which the store knows the revision.
+    pub const fn number(self) -> u64 {
+        self.0 & ((1 << Self::NUMBER_BITS) - 1)
+    }
+}
+
 /// The id of a lease that the store granted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display)]
 pub struct Lease(pub u64);
@@ -104,6 +146,9 @@
 
 /// A key-value store with revisions, leases and watches.
 pub trait Keyspace: Send + Sync + 'static {
+    /// Returns the latest era that an answer of the store has stated.
+    fn era(&self) -> Era;
+
     /// Lists the items whose keys start with `prefix`, beginning after the key `after` if given.
     fn list(
         &self,
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -58,6 +58,8 @@
     pub extra_request_bound: Bound,
     /// How long a planned stop may take before the platform kills the process.
     pub grace_period: Duration,
+    /// The interval at which targets write to the store.
+    pub target_heartbeat: Duration,
 }
 
 /// The adapters through which an entry instance uses a platform.
--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -1,8 +1,9 @@
 //! The actor that applies changes from the store and from other nodes, and that sends heartbeats.
 
+use std::cmp::Ordering;
 use std::collections::BTreeSet;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic;
 use std::time::Duration;
 
 use ractor::{Actor, ActorProcessingErr, ActorRef};
@@ -14,7 +15,8 @@
 use crate::connection::outbound::Protocol;
 use crate::process::follow::{Follower, Notification};
 use crate::process::heartbeat::Socket;
-use crate::process::mirror::{Change, Mirror};
+use crate::process::mirror::{Change, Export, Mirror};
+use crate::process::reconciliation::Reconciliation;
 use crate::process::registry::Effect;
 use crate::process::roster::{HEARTBEAT_INTERVAL, Heartbeat, startup_delay};
 use crate::time::Moment;
@@ -118,6 +120,8 @@
     unconfirmed_since: Option<Moment>,
     /// When the last fetch from another node was started.
     last_fetch: Moment,
+    /// The changes that only the copy shows from which the store has come back.
+    reconciliation: Reconciliation,
     /// The membership as of the last tick.
     membership: Membership,
     /// The number of heartbeat rounds; it wraps around.
@@ -181,6 +185,7 @@
                 let _running = actor.cast(Message::Store(notification));
             },
         );
+        let reconciliation = Reconciliation::open(shared.config.target_heartbeat);
         myself.send_interval(HEARTBEAT_INTERVAL, || Message::Tick);
         shared.meters.store_up.set(1);
         Ok(State {
@@ -194,6 +199,7 @@
             is_fetching: false,
             unconfirmed_since: None,
             last_fetch: Moment::ZERO,
+            reconciliation,
             membership: Membership::default(),
             rounds: 0,
         })
@@ -242,13 +248,21 @@
                 revision,
                 freshness,
             } => {
-                let changes = self.update_mirror(prefix, |mirror| mirror.replace(items, revision));
-                self.apply_changes(changes, now);
+                let export = Export::Whole { items, revision };
+                self.import_export(prefix, export, now);
                 if freshness == Freshness::Latest {
                     self.shared.extend_freshness(answered_at + FRESHNESS_PERIOD);
                 }
             }
             Notification::Neighbours { items } => self.await_turn(&items, myself, now),
+            Notification::Restored { era } => {
+                log::warn!(
+                    era = era.0;
+                    "store came back from an older copy; it is read again"
+                );
+                // Answers prove nothing about the settings before the copy has been read.
+                self.watch_confirmed = false;
+            }
             Notification::Failed => {}
             Notification::Renewed => {
                 if self.watch_confirmed && self.store_available {
@@ -276,7 +290,7 @@
                         "changes ignored; newer ones of their keys are known"
                     );
                 }
-                self.apply_changes(changes, now);
+                self.apply_written(changes, now);
                 self.shared.extend_freshness(answered_at + FRESHNESS_PERIOD);
                 self.watch_confirmed = true;
             }
@@ -332,6 +346,73 @@
         mirror.map(change).unwrap_or_default()
     }
 
+    /// Imports the contents or changes of the store into the mirror of the prefix, and applies the changes.
+    fn import_export(&mut self, prefix: &str, export: Export, now: Moment) {
+        let mut mirrors = self.shared.mirrors();
+        let Some(mirror) = mirrors.iter_mut().find(|mirror| mirror.prefix() == prefix) else {
+            return;
+        };
+        if !mirror.is_restored_by(export.revision()) {
+            let changes = mirror.import(export);
+            drop(mirrors);
+            return self.apply_written(changes, now);
+        }
+        let before = mirror.clone();
+        let changes = mirror.import(export);
+        drop(mirrors);
+        log::info!(
+            prefix, changes = changes.len();
+            "contents of the restored store differ from those known"
+        );
+        self.apply_restored(changes, &before, now);
+    }
+
+    /// Applies changes that have been written to the store.
+    fn apply_written(&mut self, changes: Vec<Change>, now: Moment) {
+        for change in &changes {
+            self.reconciliation.supersede(change.key());
+        }
+        self.apply_changes(changes, now);
+    }
+
+    /// Applies the differences between the copy from which the store has come back and the mirror `before`, or holds
+    /// them back.
+    fn apply_restored(&mut self, changes: Vec<Change>, before: &Mirror, now: Moment) {
+        let mut at_once = Vec::new();
+        for change in changes {
+            if self.is_certain(&change, now) {
+                at_once.push(change);
+            } else {
+                let state = before.state(change.key());
+                at_once.extend(self.reconciliation.hold(change, state, now));
+            }
+        }
+        self.apply_changes(at_once, now);
+    }
+
+    /// Tells whether a change that a copy shows takes effect at once, however old the copy is: settings, which have a
+    /// version, and targets that have started again. Applies what the report of another target restricts.
+    fn is_certain(&self, change: &Change, now: Moment) -> bool {
+        let Change::Put(key, value) = change else {
+            return false;
+        };
+        match (self.codec.classify(key), self.codec.decode(key, value)) {
+            (ItemKind::Settings, _) => true,
+            (ItemKind::Target(name), Item::Target(report)) => {
+                let registry = &mut self.shared.placement().registry;
+                match registry.compare_start(&name, &report) {
+                    Some(Ordering::Greater) => true,
+                    Some(Ordering::Equal) => {
+                        registry.restrict(&name, &report, now);
+                        false
+                    }
+                    Some(Ordering::Less) | None => false,
+                }
+            }
+            _ => false,
+        }
+    }
+
     /// Applies accepted changes of the mirrors to the route table, the placement and the roster.
     fn apply_changes(&self, changes: Vec<Change>, now: Moment) {
         for change in changes {
@@ -553,6 +634,8 @@
         self.send_heartbeats(self.rounds);
         self.shared.roster().expire(now);
         self.shared.pool.close_unusable(now);
+        let due = self.reconciliation.due(now);
+        self.apply_changes(due, now);
         let effects = self.shared.placement().registry.expire(now);
         if !effects.is_empty() {
             log::info!(
@@ -610,7 +693,7 @@
         meters
             .nodes
             .set(count(self.shared.roster().live_nodes(now).count()));
-        let running = self.shared.running_requests.load(Ordering::Relaxed);
+        let running = self.shared.running_requests.load(atomic::Ordering::Relaxed);
         meters.running_requests.set(count(running));
     }
 
@@ -733,14 +816,11 @@
         self.is_fetching = false;
         let Some(update) = update else { return };
         let now = self.shared.clock.now();
-        let changes = {
-            let mut mirrors = self.shared.mirrors();
-            let pairs = mirrors.iter_mut().zip(update.copies);
-            pairs
-                .flat_map(|(mirror, export)| mirror.import(export))
-                .collect()
-        };
-        self.apply_changes(changes, now);
+        let prefixes: Vec<&'static str> =
+            self.shared.mirrors().iter().map(Mirror::prefix).collect();
+        for (prefix, export) in prefixes.into_iter().zip(update.copies) {
+            self.import_export(prefix, export, now);
+        }
         // The other node stated the time after it had received the request.
         let fresh_for = update.fresh_for.min(FRESHNESS_PERIOD);
         if fresh_for.is_zero() {
@@ -767,13 +847,13 @@
     /// Records that the route table is known to be the newest one at least until the moment.
     fn extend_freshness(&self, until: Moment) {
         self.fresh_until
-            .fetch_max(until.as_micros(), Ordering::AcqRel);
+            .fetch_max(until.as_micros(), atomic::Ordering::AcqRel);
     }
 
     /// Extends the freshness if the state has been confirmed before. Called while the store answers, because
     /// a watch without changes returns only when its timeout ends.
     fn extend_freshness_if_known(&self, until: Moment) {
-        if self.fresh_until.load(Ordering::Acquire) > 0 {
+        if self.fresh_until.load(atomic::Ordering::Acquire) > 0 {
             self.extend_freshness(until);
         }
     }
--- a/src/process/follow.rs
+++ b/src/process/follow.rs
@@ -8,7 +8,7 @@
 //! While the store is unavailable, only the lease task calls it, because each call is paid for.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU16, AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use rand::Rng;
@@ -18,7 +18,7 @@
 
 use super::meters::{Meters, StoreCallLabels};
 use crate::connection::keyspace::{
-    Batch, Error, Event, Freshness, Item, Keyspace, Lease, Revision,
+    Batch, Era, Error, Event, Freshness, Item, Keyspace, Lease, Revision,
 };
 
 /// How long one watch call waits for changes at the store before it returns without any. A connection that
@@ -88,6 +88,11 @@
     },
     /// The store has answered a renewal of this node's lease.
     Renewed,
+    /// The store has come back from an older copy. Notifications after this one come from that copy.
+    Restored {
+        /// The era that has begun.
+        era: Era,
+    },
     /// A task of the follower has ended because of a panic.
     Failed,
     /// The store has become available or unavailable.
@@ -112,6 +117,10 @@
     meters: Meters,
     available: AtomicBool,
     consecutive_failures: AtomicU32,
+    /// The [`Era`] of the store in which its answers were last notified.
+    era: AtomicU16,
+    /// Whether the store has answered since this node has started.
+    has_answered: AtomicBool,
     stopping: AtomicBool,
     /// Whether this node serves callers.
     serving: AtomicBool,
@@ -150,6 +159,8 @@
             meters,
             available: AtomicBool::new(true),
             consecutive_failures: AtomicU32::new(0),
+            era: AtomicU16::new(0),
+            has_answered: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             serving: AtomicBool::new(true),
             listing: AtomicBool::new(false),
@@ -235,12 +246,20 @@
 }
 
 impl Shared {
-    /// Records an answer of the store, and notifies if it has become available again.
-    fn record_success<F>(&self, notify: &F)
+    /// Records an answer of the store in an era, and notifies if the store has come back from an older copy or has
+    /// become available again.
+    fn record_success<F>(&self, era: Era, notify: &F)
     where
         F: Fn(Notification),
     {
         self.consecutive_failures.store(0, Ordering::Release);
+        let previous = self.era.fetch_max(era.0, Ordering::AcqRel);
+        let has_answered = self.has_answered.swap(true, Ordering::AcqRel);
+        if has_answered && previous < era.0 {
+            notify(Notification::Restored { era });
+            // The watches wait for changes of a state that is gone.
+            self.state_changed.notify_waiters();
+        }
         if !self.available.swap(true, Ordering::AcqRel) {
             notify(Notification::Availability {
                 available: true,
@@ -279,6 +298,11 @@
         self.watching.load(Ordering::Acquire)
     }
 
+    /// Returns the latest era of the store.
+    fn era(&self) -> Era {
+        Era(self.era.load(Ordering::Acquire))
+    }
+
     /// Returns the revision up to which the mirrors have every change.
     fn known_revision(&self) -> Revision {
         Revision(self.known_revision.load(Ordering::Acquire))
@@ -337,7 +361,7 @@
     loop {
         match list_all(&*keyspace, &shared.meters, &prefix, Freshness::AllowStale).await {
             Ok((items, _)) => {
-                shared.record_success(&notify);
+                shared.record_success(keyspace.era(), &notify);
                 return notify(Notification::Neighbours { items });
             }
             Err(cause) => {
@@ -348,7 +372,8 @@
     }
 }
 
-/// Lists a prefix and then watches it. It lists the prefix again if the store has compacted its changes.
+/// Lists a prefix and then watches it. It lists the prefix again if the store has compacted its changes, or has come
+/// back from an older copy.
 async fn list_and_watch<K, F>(
     keyspace: Arc<K>,
     shared: Arc<Shared>,
@@ -362,6 +387,7 @@
     let started = Instant::now();
     // Stale reads are cheap, and the watch delivers the changes that they lack.
     let mut freshness = Freshness::AllowStale;
+    let mut is_restored = false;
     loop {
         let (items, mut after) = loop {
             match list_all(&*keyspace, &shared.meters, prefix, freshness).await {
@@ -372,7 +398,7 @@
                 }
             }
         };
-        shared.record_success(&notify);
+        shared.record_success(after.era(), &notify);
         notify(Notification::Listed {
             prefix,
             items,
@@ -381,8 +407,10 @@
         });
         // After a stale listing, a watch call that does not wait returns the changes since then.
         let updates_from_store = shared.updates_from_store.load(Ordering::Acquire);
+        // After a restore, it confirms the listing.
         let mut wait = match freshness {
             Freshness::AllowStale if updates_from_store => Duration::ZERO,
+            Freshness::Latest if is_restored => Duration::ZERO,
             Freshness::AllowStale | Freshness::Latest => WATCH_WAIT_MAX,
         };
         let mut pause = BATCH_PAUSE_MIN;
@@ -395,6 +423,12 @@
                 // change.
                 wait = Duration::ZERO;
             }
+            if after.era() < shared.era() {
+                // The store may have given the revision out again.
+                freshness = Freshness::Latest;
+                is_restored = true;
+                break;
+            }
             let start = Instant::now();
             let watch = call_with_timeout(
                 &shared.meters,
@@ -412,8 +446,11 @@
                 }
             };
             match batch {
+                Ok(Batch { revision, .. }) if revision.era() > after.era() => {
+                    shared.record_success(revision.era(), &notify);
+                }
                 Ok(Batch { events, revision }) => {
-                    shared.record_success(&notify);
+                    shared.record_success(revision.era(), &notify);
                     after = after.max(revision);
                     wait = WATCH_WAIT_MAX;
                     let has_events = !events.is_empty();
@@ -436,7 +473,8 @@
                     }
                 }
                 Err(Error::Compacted) => {
-                    shared.record_success(&notify);
+                    shared.record_success(keyspace.era(), &notify);
+                    is_restored = after.era() < shared.era();
                     // A stale listing could again be older than the compaction.
                     freshness = Freshness::Latest;
                     break;
@@ -493,6 +531,11 @@
         // The pages are not one snapshot. The watch from the revision of the first page returns all changes
         // since then again.
         let revision = *first.get_or_insert(page.revision);
+        if page.revision.era() != revision.era() {
+            return Err(Error::Lost(
+                "the store has come back from an older copy between two pages".to_owned(),
+            ));
+        }
         let is_empty_page = page.items.is_empty();
         items.extend(page.items);
         if !page.more || is_empty_page {
@@ -512,11 +555,13 @@
     F: Fn(Notification) + Send + Sync,
 {
     let (key, value) = record;
-    let mut lease: Option<Lease> = None;
+    // The lease with the era in which it was granted. The store may give its id out again in a later one.
+    let mut lease: Option<(Lease, Era)> = None;
     loop {
+        lease = lease.filter(|(_, era)| *era == keyspace.era());
         if shared.stopping.load(Ordering::Acquire) {
             // The lease also expires by itself. Only the record of a node that serves callers is worth a call.
-            if let Some(lease) = lease.take()
+            if let Some((lease, _)) = lease.take()
                 && shared.serving.load(Ordering::Acquire)
             {
                 let _ =
@@ -526,19 +571,21 @@
             return;
         }
         let result = match lease {
-            Some(held) => {
+            Some((held, era)) => {
                 call_with_timeout(&shared.meters, "renew", CALL_TIMEOUT, keyspace.renew(held))
                     .await
-                    .map(|()| held)
+                    .map(|()| (held, era))
             }
             None => grant_and_put(&*keyspace, &shared.meters, &key, &value).await,
         };
         let wait = match result {
             Ok(held) => {
                 lease = Some(held);
-                shared.record_success(&notify);
+                shared.record_success(keyspace.era(), &notify);
                 notify(Notification::Renewed);
-                if shared.serving.load(Ordering::Acquire) {
+                if held.1 != keyspace.era() {
+                    RETRY_DELAY_MIN
+                } else if shared.serving.load(Ordering::Acquire) {
                     RENEWAL_INTERVAL
                 } else {
                     STANDBY_RENEWAL_INTERVAL
@@ -546,7 +593,7 @@
             }
             Err(Error::NoLease) => {
                 lease = None;
-                shared.record_success(&notify);
+                shared.record_success(keyspace.era(), &notify);
                 RETRY_DELAY_MIN
             }
             Err(cause) => {
@@ -566,13 +613,14 @@
     }
 }
 
-/// Requests a new lease, and writes the node's record under it.
+/// Requests a new lease, and writes the node's record under it. Returns the lease and the era in which it
+/// was granted.
 async fn grant_and_put<K>(
     keyspace: &K,
     meters: &Meters,
     key: &str,
     value: &[u8],
-) -> Result<Lease, Error>
+) -> Result<(Lease, Era), Error>
 where
     K: Keyspace,
 {
@@ -583,6 +631,7 @@
         keyspace.grant(LEASE_LIFETIME),
     )
     .await?;
+    let era = keyspace.era();
     call_with_timeout(meters, "put", CALL_TIMEOUT, keyspace.put(key, value, lease)).await?;
-    Ok(lease)
+    Ok((lease, era))
 }
--- a/src/process/mirror.rs
+++ b/src/process/mirror.rs
@@ -15,7 +15,7 @@
 const REMOVED_KEYS_MAX: usize = 4_096;
 
 /// The replica of the items under one prefix.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Mirror {
     prefix: &'static str,
     items: BTreeMap<String, Value>,
@@ -65,6 +65,17 @@
     }
 }
 
+/// The last known state of a key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum KeyState {
+    /// The key has a value.
+    Present,
+    /// The key has been removed.
+    Removed,
+    /// No change of the key is known.
+    Unknown,
+}
+
 /// A change that a mirror has accepted.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Change {
@@ -74,6 +85,24 @@
     Removed(String),
 }
 
+impl Change {
+    /// Returns the key that has been changed.
+    pub fn key(&self) -> &str {
+        match self {
+            Self::Put(key, _) | Self::Removed(key) => key,
+        }
+    }
+}
+
+impl Export {
+    /// Returns the revision up to which the export is complete.
+    pub const fn revision(&self) -> Revision {
+        match self {
+            Self::Whole { revision, .. } | Self::Changes { revision, .. } => *revision,
+        }
+    }
+}
+
 impl Mirror {
     /// Creates an empty mirror of the items under `prefix`.
     pub const fn open(prefix: &'static str) -> Self {
@@ -132,6 +161,23 @@
         self.revision = self.revision.max(revision);
     }
 
+    /// Tells whether contents of this revision come from a store that has come back from an older copy since the
+    /// mirror was last changed.
+    pub fn is_restored_by(&self, revision: Revision) -> bool {
+        self.revision > Revision::default() && revision.era() > self.revision.era()
+    }
+
+    /// Returns the last known state of a key.
+    pub fn state(&self, key: &str) -> KeyState {
+        if self.items.contains_key(key) {
+            KeyState::Present
+        } else if self.removed.contains_key(key) {
+            KeyState::Removed
+        } else {
+            KeyState::Unknown
+        }
+    }
+
     /// Replaces the contents by a listing that was complete at `revision`, and returns the changes.
     ///
     /// Items that are not in the listing are removed, unless they were written after `revision`.
@@ -211,6 +257,7 @@
         if known.is_some_and(|known| known.revision >= item.revision) {
             return None;
         }
+        let has_same_value = known.is_some_and(|known| known.bytes == item.value);
         self.removed.remove(&item.key);
         self.latest_change = self.latest_change.max(item.revision);
         let value = Value {
@@ -218,7 +265,7 @@
             revision: item.revision,
         };
         self.items.insert(item.key.clone(), value);
-        Some(Change::Put(item.key, item.value))
+        (!has_same_value).then_some(Change::Put(item.key, item.value))
     }
 
     fn remove(&mut self, key: String, revision: Revision) -> Option<Change> {
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -24,6 +24,7 @@
 pub mod pacing;
 pub mod placement;
 pub mod ramp;
+pub mod reconciliation;
 pub mod record;
 pub mod registry;
 pub mod roster;
--- a/src/process/registry.rs
+++ b/src/process/registry.rs
@@ -4,6 +4,7 @@
 //! outage or shortly after it therefore takes effect only if the target does not register again. See
 //! `docs/decisions/008-platform.md`.
 
+use std::cmp::Ordering;
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
@@ -108,6 +109,29 @@
         effects
     }
 
+    /// Compares the start of the process that a report tells of with that of the known process of the target.
+    /// Returns `None` if the target is unknown or either does not state its start.
+    pub fn compare_start(&self, name: &str, report: &TargetReport) -> Option<Ordering> {
+        let key = self.keys_by_name.get(name)?;
+        let known = self.targets[*key].report.born?;
+        Some(report.born?.cmp(&known))
+    }
+
+    /// Applies what a report restricts that may be older than the last one: the target drains or is cold.
+    pub fn restrict(&mut self, name: &str, report: &TargetReport, now: Moment) {
+        let Some(target) = self
+            .keys_by_name
+            .get(name)
+            .and_then(|key| self.targets.get_mut(*key))
+        else {
+            return;
+        };
+        target.cold_until = target.cold_until.max(now + report.cold);
+        if report.state == TargetState::Draining {
+            target.report.state = TargetState::Draining;
+        }
+    }
+
     /// Handles the removal of a target's entry from the store. During or shortly after an outage the target
     /// is kept and only marked as missing.
     pub fn remove(&mut self, name: &str, now: Moment) -> Option<Effect> {
--- a/tests/entry_failure.rs
+++ b/tests/entry_failure.rs
@@ -9,7 +9,7 @@
 use hyper::Request;
 use hyper::http::response;
 use redwinggrade::connection::keyspace::{
-    Batch, Error, Freshness, Keyspace, Lease, Page, Revision,
+    Batch, Era, Error, Freshness, Keyspace, Lease, Page, Revision,
 };
 use redwinggrade::connection::outbound::{Call, CallResult, Endpoint, Protocol};
 use redwinggrade::process::budget::Bound;
@@ -25,6 +25,10 @@
 struct PanickingStore;
 
 impl Keyspace for PanickingStore {
+    fn era(&self) -> Era {
+        Era::default()
+    }
+
     async fn list(&self, _: &str, _: Option<&str>, _: Freshness) -> Result<Page, Error> {
         panic!("unexpected listing");
     }
@@ -109,6 +113,7 @@
             slack: 58.0,
         },
         grace_period: Duration::from_secs(6),
+        target_heartbeat: Duration::from_secs(1),
     };
     let platform = Platform {
         keyspace: Arc::new(PanickingStore),
--- a/tests/mirror.rs
+++ b/tests/mirror.rs
@@ -2,7 +2,7 @@
 //! from a listing, a watch or another node.
 
 use bytes::Bytes;
-use redwinggrade::connection::keyspace::{Event, Item, Revision};
+use redwinggrade::connection::keyspace::{Era, Event, Item, Revision};
 use redwinggrade::process::mirror::{Change, Export, Mirror};
 
 fn item(key: &str, value: &'static str, revision: u64) -> Item {
@@ -165,3 +165,43 @@
     assert_eq!(changes, [put_change("a", "2")]);
     assert_eq!(mirror.revision(), Revision(9));
 }
+
+/// Returns a revision of the store after it has come back once.
+fn second_era(number: u64) -> Revision {
+    Revision::in_era(Era(1), number)
+}
+
+/// Guards against changes that are ignored, or take effect too early, because their revision was given out before.
+#[test]
+fn change_of_later_era_counts_although_its_number_is_not_higher() {
+    let mut mirror = Mirror::open("");
+    mirror.replace(vec![item("a", "1", 64), item("b", "1", 3)], Revision(64));
+    assert!(!mirror.is_restored_by(Revision(65)));
+    assert!(mirror.is_restored_by(second_era(60)));
+    let copied = |key, value, number| Item {
+        revision: second_era(number),
+        ..item(key, value, 0)
+    };
+    let changes = mirror.replace(vec![copied("a", "0", 60)], second_era(63));
+    assert_eq!(changes, [removal_change("b"), put_change("a", "0")]);
+    let written = mirror.apply(Event::Put(copied("a", "2", 64)));
+    assert_eq!(written, Some(put_change("a", "2")));
+    assert_eq!(mirror.apply(Event::Put(item("a", "3", 70))), None);
+    assert!(
+        matches!(mirror.export(Revision(64)), Export::Whole { .. }),
+        "a node of the earlier era needs the whole contents"
+    );
+}
+
+/// Guards against targets that count as cold again, because their entries come again unchanged.
+#[test]
+fn same_value_with_a_later_revision_is_no_change() {
+    let mut mirror = Mirror::open("");
+    mirror.replace(vec![item("a", "1", 3)], Revision(3));
+    let listed = Item {
+        revision: second_era(3),
+        ..item("a", "1", 0)
+    };
+    assert!(mirror.replace(vec![listed], second_era(3)).is_empty());
+    assert_eq!(mirror.latest_change(), second_era(3));
+}
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use entry_support::{LOCAL, REMOTE, at, target_report};
+use entry_support::{LOCAL, REMOTE, at, ms, target_report};
 use redwinggrade::process::registry::{Effect, REREGISTRATION_GRACE, Registry};
 use redwinggrade::version::item::{TargetReport, TargetState};
 use rstest::rstest;
@@ -128,3 +128,28 @@
     let (_, target) = registry.targets().next().expect("the target is known");
     assert_eq!(target.cold_until, at(800));
 }
+
+/// Guards against requests to a target that drains or is cold, because the report that says so may be older than the
+/// one before it.
+#[test]
+fn older_report_restricts_target_and_permits_nothing() {
+    let mut registry = Registry::default();
+    let name: Arc<str> = Arc::from("t");
+    let warm = target_report("s0", LOCAL, 1);
+    registry.put(&name, warm.clone(), at(0));
+    let cold = TargetReport {
+        cold: ms(900),
+        ..warm.clone()
+    };
+    registry.restrict(&name, &cold, at(100));
+    registry.restrict(&name, &warm, at(200));
+    let cold_until = registry.targets().next().map(|(_, it)| it.cold_until);
+    assert_eq!(cold_until, Some(at(1_000)));
+    let draining = TargetReport {
+        state: TargetState::Draining,
+        ..warm.clone()
+    };
+    registry.restrict(&name, &draining, at(300));
+    registry.restrict(&name, &warm, at(400));
+    assert_eq!(registry.usable("s0").count(), 0);
+}
