Let standby nodes take whole copies in turn after a restore of the store

Cause: all nodes need a whole copy when the era of the store rises, and on the large site 59 nodes of a data centre took theirs from the serving nodes within half a second. Change: they take turns, as after a start; the function and its constants are named after copies, not after the start.

--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -18,7 +18,7 @@
 use crate::process::mirror::{Change, Export, Mirror};
 use crate::process::reconciliation::Reconciliation;
 use crate::process::registry::Effect;
-use crate::process::roster::{HEARTBEAT_INTERVAL, Heartbeat, startup_delay};
+use crate::process::roster::{HEARTBEAT_INTERVAL, Heartbeat, copy_delay};
 use crate::time::Moment;
 use crate::version::item::{Codec, Item, ItemKind, Node};
 
@@ -321,7 +321,7 @@
             })
             .collect();
         let own = &self.shared.config.node;
-        let delay = startup_delay(own, nodes.iter());
+        let delay = copy_delay(own, nodes.iter());
         log::info!(
             nodes = nodes.len(), delay_ms = millis_rounded(delay);
             "nodes of the data centre read; the store is listed after the delay"
@@ -796,6 +796,10 @@
         let own = &self.shared.config.node;
         let waited = now.since(newer_peer.since);
         let roster = self.shared.roster();
+        if newer_peer.revision.era() > self.complete_revision().era() && !roster.serves_callers() {
+            // The copy is whole, as the revisions of the two eras do not tell what has changed.
+            return waited >= copy_delay(own, roster.nodes());
+        }
         let has_contents = self.latest_change() > Revision::default();
         if !has_contents && self.store_available && !roster.serves_callers() {
             // This node lists the store when it is its turn. Copies for all nodes of a data centre would fill
--- a/src/process/roster.rs
+++ b/src/process/roster.rs
@@ -38,14 +38,14 @@
 pub const STANDBY_HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long a node without a record in the store and without heartbeats stays known and is sent heartbeats.
 pub const NODE_EXPIRY: Duration = Duration::from_secs(15);
-/// The number of nodes of each data centre, the strongest ones, that read the store at once after a start: those
-/// that serve callers, and some to stand in for them.
-pub const STARTUP_FIRST_NODES: usize = 4;
-/// The interval at which the other nodes of a data centre start to read the store, one after the other. At 300
-/// nodes and 1,350 targets, each reads 0.7 MB, and the store's link carries 125 MB/s.
-pub const STARTUP_INTERVAL: Duration = Duration::from_millis(60);
-/// The time after which every node reads the store, however many are before it.
-pub const STARTUP_DELAY_MAX: Duration = Duration::from_secs(6);
+/// The number of nodes of each data centre, the strongest ones, that get a whole copy of the store's contents at once:
+/// those that serve callers, and some to stand in for them.
+pub const FIRST_COPIES: usize = 4;
+/// The interval at which the other nodes of a data centre get one, one after the other. At 300 nodes and 1,350
+/// targets, a copy has 0.7 MB, and the link of the store carries 125 MB/s.
+pub const COPY_INTERVAL: Duration = Duration::from_millis(60);
+/// The time after which every node gets one, however many are before it.
+pub const COPY_DELAY_MAX: Duration = Duration::from_secs(6);
 /// Maximum number of addresses that callers use from a list.
 pub const ADDRESSES_MAX: usize = 64;
 /// Minimum number of addresses in a list, if that many nodes serve callers. A caller whose node fails needs
@@ -288,6 +288,11 @@
             .any(|known| known.node.heartbeat == address)
     }
 
+    /// Returns all other nodes that this node knows.
+    pub fn nodes(&self) -> impl Iterator<Item = &Node> {
+        self.nodes.values().map(|known| &known.node)
+    }
+
     /// Returns the nodes whose last heartbeat arrived within [`HEARTBEAT_TIMEOUT`].
     pub fn live_nodes(&self, now: Moment) -> impl Iterator<Item = &Node> {
         self.nodes
@@ -335,22 +340,22 @@
     }
 }
 
-/// Returns how long a node that has just started waits before it reads the store, given the other nodes of its
-/// data centre that have a record there.
+/// Returns how long a node waits before it gets a whole copy of the store's contents, given the other nodes: after
+/// a start, or when the store has come back from an older copy.
 ///
-/// When hundreds of nodes start at the same moment, the store's link must first carry the copies of those that
+/// When hundreds of nodes need a copy at the same moment, the links must first carry the copies of those that
 /// callers wait for.
-pub fn startup_delay<'a>(own: &Node, neighbours: impl Iterator<Item = &'a Node>) -> Duration {
+pub fn copy_delay<'a>(own: &Node, neighbours: impl Iterator<Item = &'a Node>) -> Duration {
     let stronger = neighbours
         .filter(|node| node.data_centre == own.data_centre && node.name != own.name)
         .filter(|node| {
             strength_order((node.millicores, &node.name), (own.millicores, &own.name)).is_lt()
         })
         .count();
-    let position = u32::try_from((stronger + 1).saturating_sub(STARTUP_FIRST_NODES));
-    STARTUP_INTERVAL
+    let position = u32::try_from((stronger + 1).saturating_sub(FIRST_COPIES));
+    COPY_INTERVAL
         .saturating_mul(position.unwrap_or(u32::MAX))
-        .min(STARTUP_DELAY_MAX)
+        .min(COPY_DELAY_MAX)
 }
 
 /// Compares two nodes, each given by its millicores and its name: the stronger one comes first.
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -10,8 +10,8 @@
 use rand_pcg::Pcg32;
 use redwinggrade::connection::keyspace::Revision;
 use redwinggrade::process::roster::{
-    HEARTBEAT_INTERVAL, HEARTBEAT_TIMEOUT, Heartbeat, NODE_EXPIRY, Roster, STANDBY_INTERVAL_ROUNDS,
-    STARTUP_DELAY_MAX, STARTUP_FIRST_NODES, STARTUP_INTERVAL, startup_delay,
+    COPY_DELAY_MAX, COPY_INTERVAL, FIRST_COPIES, HEARTBEAT_INTERVAL, HEARTBEAT_TIMEOUT, Heartbeat,
+    NODE_EXPIRY, Roster, STANDBY_INTERVAL_ROUNDS, copy_delay,
 };
 use redwinggrade::time::Moment;
 use redwinggrade::version::item::Node;
@@ -354,24 +354,24 @@
     nodes.extend((4..=60).map(|n| local_node(n, 120)));
     let mut delays: Vec<_> = nodes
         .iter()
-        .map(|own| startup_delay(own, nodes.iter()))
+        .map(|own| copy_delay(own, nodes.iter()))
         .collect();
     assert!(delays[..3].iter().all(std::time::Duration::is_zero));
     let at_once = delays.iter().filter(|delay| delay.is_zero()).count();
-    assert_eq!(at_once, STARTUP_FIRST_NODES);
+    assert_eq!(at_once, FIRST_COPIES);
     delays.sort_unstable();
     delays.dedup();
-    assert_eq!(delays.len(), nodes.len() - STARTUP_FIRST_NODES + 1);
-    assert_eq!(delays[1], STARTUP_INTERVAL);
+    assert_eq!(delays.len(), nodes.len() - FIRST_COPIES + 1);
+    assert_eq!(delays[1], COPY_INTERVAL);
 }
 
 /// Guards against a node that never reads the store because too many others are before it, or that waits for
 /// nodes of other data centres.
 #[test]
-fn startup_delay_is_bounded_and_counts_own_data_centre() {
+fn copy_delay_is_bounded_and_counts_own_data_centre() {
     let own = local_node(250, 120);
     let local: Vec<Node> = (1..=249).map(|n| local_node(n, 500)).collect();
-    assert_eq!(startup_delay(&own, local.iter()), STARTUP_DELAY_MAX);
+    assert_eq!(copy_delay(&own, local.iter()), COPY_DELAY_MAX);
     let remote: Vec<Node> = (1..=249).map(|n| node(n, REMOTE)).collect();
-    assert!(startup_delay(&own, remote.iter()).is_zero());
+    assert!(copy_delay(&own, remote.iter()).is_zero());
 }
