Hold only counted nodes, not assumed ones, when rates are divided

A node that has just started divides stated limits by 24 nodes for ten seconds. As departed nodes count for ten seconds more, the assumption held for twenty, in which such a node used less than half of its part. Only the nodes that were really known are held now. pacing, placement and rate_limit passed.

--- a/src/process/pacing.rs
+++ b/src/process/pacing.rs
@@ -101,10 +101,12 @@
     nodes_version: u64,
     /// Whether the other nodes count this one among those that serve callers.
     is_serving: bool,
+    /// The largest number of `nodes` for [`DEPARTED_NODES_COUNT_FOR`].
+    node_count_peak: usize,
+    /// Until when `node_count_peak` is not lowered.
+    peak_until: Moment,
     /// The number of nodes by which rates are divided, at least that of `nodes`.
     node_count: usize,
-    /// Until when `node_count` is not lowered.
-    node_count_until: Moment,
     schedules: HashMap<Arc<str>, Schedule>,
 }
 
@@ -144,8 +146,9 @@
             nodes: vec![own],
             nodes_version: 0,
             is_serving: true,
+            node_count_peak: 1,
+            peak_until: Moment::ZERO,
             node_count: 1,
-            node_count_until: Moment::ZERO,
             schedules: HashMap::new(),
         }
     }
@@ -161,11 +164,11 @@
             self.nodes = hashes;
             self.nodes_version += 1;
         }
-        let count = self.nodes.len().max(node_count_min);
-        if count >= self.node_count || now >= self.node_count_until {
-            self.node_count = count;
-            self.node_count_until = now + DEPARTED_NODES_COUNT_FOR;
+        if self.nodes.len() >= self.node_count_peak || now >= self.peak_until {
+            self.node_count_peak = self.nodes.len();
+            self.peak_until = now + DEPARTED_NODES_COUNT_FOR;
         }
+        self.node_count = self.node_count_peak.max(node_count_min);
     }
 
     /// Sets whether the other nodes count this one among those that serve callers.
--- a/src/process/placement.rs
+++ b/src/process/placement.rs
@@ -111,10 +111,10 @@
     per_second: f64,
     /// When an answer stated a limit first, after others that did not.
     since: Moment,
-    /// When the last answer arrived that stated it.
-    confirmed_at: Moment,
-    /// The subrequests of this node since then.
+    /// The subrequests of this node since the first of these answers.
     sent: u32,
+    /// When the last answer arrived that stated the limit.
+    confirmed_at: Moment,
 }
 
 /// A change of whether a target states a limit on the rate of requests.
