Ignore contents of the store that are of an earlier era

An update of another node that was fetched before the store came back, and that arrives after the copy has been read, could bring back a key that is gone, which no event would remove again; and a listing that states an earlier era than the store has would be repeated without a pause. Both found by reading, not seen in a run. restored_store, mirror, lifecycle and entry_failure passed.

--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -352,6 +352,13 @@
         let Some(mirror) = mirrors.iter_mut().find(|mirror| mirror.prefix() == prefix) else {
             return;
         };
+        if export.revision().era() < mirror.revision().era() {
+            log::info!(
+                prefix, revision = export.revision().0;
+                "contents of an earlier era of the store ignored"
+            );
+            return;
+        }
         if !mirror.is_restored_by(export.revision()) {
             let changes = mirror.import(export);
             drop(mirrors);
--- a/src/process/follow.rs
+++ b/src/process/follow.rs
@@ -391,6 +391,11 @@
     loop {
         let (items, mut after) = loop {
             match list_all(&*keyspace, &shared.meters, prefix, freshness).await {
+                Ok((_, revision)) if revision.era() < shared.era() => {
+                    let cause = Error::Lost("the listing is of an earlier era".to_owned());
+                    shared.record_failure(&cause, &notify);
+                    wait_until_available(&shared).await;
+                }
                 Ok(listed) => break listed,
                 Err(cause) => {
                     shared.record_failure(&cause, &notify);
