--- a/src/connection/outbound.rs
+++ b/src/connection/outbound.rs
@@ -101,11 +101,11 @@
     pub cold_for: Option<Duration>,
     /// The keep-alive time-out of the target, if it reports one.
     pub keep_alive: Option<Duration>,
-    /// What the target says about the rate of requests that it takes.
+    /// The limit on its requests that the target states.
     pub rate_limit: RateLimit,
 }
 
-/// What an answer says about the rate of requests that its target takes from all nodes together.
+/// The limit on the rate of requests that an answer states, which holds for all nodes together.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum RateLimit {
     /// There is no answer that could tell.
--- a/tests/fanout.rs
+++ b/tests/fanout.rs
@@ -221,8 +221,7 @@
     );
 }
 
-/// Guards against callers that wait for a target that must not get their request in time, and against a refusal
-/// where the wait is short.
+/// Guards against callers that wait in vain for a limited target, and against a refusal where the wait is short.
 #[rstest]
 #[case::short_wait(100.0, None)]
 #[case::long_wait(2.0, Some(Reason::TargetLimit))]
--- a/tests/pacing.rs
+++ b/tests/pacing.rs
@@ -86,8 +86,7 @@
     }
 }
 
-/// Guards against nodes that together send a target more than the limit that it states, and against a target
-/// that gets far less although there is work for it.
+/// Guards against nodes that together exceed the limit that a target states, or leave most of it unused.
 #[rstest]
 #[case::takes_nothing(0.0, 9, 9)]
 #[case::below_one(0.4, 9, 9)]
@@ -127,8 +126,7 @@
     }
 }
 
-/// Guards against two groups of nodes, cut off from each other but not from the target, that each use the whole
-/// limit.
+/// Guards against nodes that use the whole limit because they are cut off from others, which use it as well.
 #[test]
 fn nodes_that_lose_sight_of_others_keep_to_their_part_for_some_seconds() {
     let (limit, target) = (20.0, Arc::from("t"));
@@ -149,8 +147,7 @@
     );
 }
 
-/// Guards against a node that has just started and takes the whole limit for itself, because it knows no other
-/// node yet.
+/// Guards against a started node that knows no other one yet and takes the whole limit for itself.
 #[test]
 fn node_that_knows_no_other_yet_takes_part_of_the_limit() {
     let (limit, target) = (20.0, Arc::from("t"));
@@ -167,8 +164,7 @@
     assert!(sent.len() <= 5, "{} requests in four seconds", sent.len());
 }
 
-/// Guards against hundreds of nodes that serve no callers, each with a request now and then, which no other node
-/// takes into account.
+/// Guards against hundreds of standby nodes, each with a request now and then, which no other node counts.
 #[test]
 fn node_that_serves_no_callers_sends_to_limited_target_once_in_a_while() {
     let (limit, target) = (20.0, Arc::from("t"));
--- a/tests/reconciliation.rs
+++ b/tests/reconciliation.rs
@@ -19,8 +19,7 @@
     Change::Removed(key.to_owned())
 }
 
-/// Guards against targets that left and are used again, and against targets that are dropped before they have had
-/// time to register again.
+/// Guards against targets that left and are used again, and against dropping targets that register again.
 #[test]
 fn holds_back_what_only_the_copy_shows() {
     let mut reconciliation = Reconciliation::open(TARGET_HEARTBEAT);
@@ -44,7 +43,7 @@
     assert_eq!(due, [put("left"), put("other")]);
 }
 
-/// Guards against an old state that comes after the new one, which its writer has written meanwhile.
+/// Guards against an old state that replaces a new one, which its writer has written meanwhile.
 #[test]
 fn drops_held_change_of_a_key_that_is_written_again() {
     let mut reconciliation = Reconciliation::open(TARGET_HEARTBEAT);
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -129,8 +129,7 @@
     assert_eq!(target.cold_until, at(800));
 }
 
-/// Guards against requests to a target that drains or is cold, because the report that says so may be older than the
-/// one before it.
+/// Guards against work for a target that drains or is cold, because the report that says so may be old.
 #[test]
 fn older_report_restricts_target_and_permits_nothing() {
     let mut registry = Registry::default();
