--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -6,4 +6,4 @@
     echo "build redwinggrade-platform and run review/build.sh first" >&2
     exit 2
 fi
-exec target/review/cases limit-lifted review/5
+exec target/review/cases mixed-replicas review/5
--- a/review/standins/cases/limit_lifted.rs
+++ b/review/standins/cases/limit_lifted.rs
@@ -1,11 +1,11 @@
-//! The only leaf of a service names a limit for some seconds. Afterwards it is sound, and the service's route is
-//! used as before.
+//! Some leafs of the shards are lost for good. The other leafs of these shards name a limit for some seconds, and
+//! are sound afterwards.
 
 use std::io::{Error, Result};
 use std::thread::sleep;
 use std::time::Duration;
 
-use super::{LEAD, STABLE, Violations, configuration};
+use super::{LEAD, Violations, document, route};
 use crate::leaf::{Behaviour, Leaf};
 use crate::node::Fleet;
 use crate::record::{elapsed, note};
@@ -13,35 +13,58 @@
 
 /// The machines of the small deployments: three in each of three zones.
 const MACHINES: u8 = 9;
-/// The limit that the leaf names, in requests a second, and for how long it does.
-const LIMIT: f64 = 0.5;
+/// The shards, and how many of the forty leafs are lost. The site loses up to 0.14 of all.
+const SHARDS: usize = 20;
+const LOST: usize = 5;
+/// When the store removes the entry of a leaf that is silent: after three heartbeats.
+const ENTRY_LIFETIME: Duration = Duration::from_millis(3_600);
+/// The limit that each leaf names, in requests a second, and for how long, in seconds.
+const LIMIT: f64 = 1.0;
 const LIMITED: f64 = 10.0;
-/// How long the leaf is sound before the requests count.
+/// For how long the leafs are sound before the requests count, and for how long requests count, in seconds.
 const RECOVERY: f64 = 15.0;
-/// For how long requests count.
 const OBSERVED: f64 = 15.0;
 /// The pause between two rounds of requests, one to each machine on each route.
 const PAUSE: Duration = Duration::from_millis(400);
-const WORK: Duration = Duration::from_millis(40);
+const WORK: Duration = Duration::from_millis(15);
 
 pub fn run(trouble: bool) -> Result<Violations> {
-    let services = ["order-desk", "ship-tracker"];
-    let zones = ["se-atl", "se-bhm", "se-clt"];
-    let store = Store::start(Some(1))?;
-    store.put(
-        "op/config",
-        &configuration(1, &[("/first/", services[0])], &services),
+    let names: Vec<String> = (0..SHARDS)
+        .map(|number| format!("proof-viewer-{number}"))
+        .collect();
+    let mut services = vec!["order-desk"];
+    services.extend(names.iter().map(String::as_str));
+    let list: Vec<String> = names.iter().map(|name| format!("\"{name}\"")).collect();
+    let gather = format!(
+        "\"gather\":[{}],\"top_k\":20,\"min_coverage\":0.89",
+        list.join(",")
     );
-    let first = Leaf::start("i-first", services[0], zones[0])?;
-    let later = Leaf::start("i-later", services[1], zones[1])?;
-    for leaf in [&first, &later] {
-        leaf.set_behaviour(Behaviour {
-            work: WORK,
-            ..Behaviour::default()
-        });
+    let routes = [
+        route("/first/", 500, "\"service\":\"order-desk\""),
+        route("/later/", 150, &gather),
+    ];
+    let store = Store::start(Some(1))?;
+    store.put("op/config", &document(1, &routes[..1], &services));
+    let sound = Behaviour {
+        limit: None,
+        work: WORK,
+    };
+    let start_leaf = |id: &str, service: &str, zone: &str| -> Result<Leaf> {
+        let leaf = Leaf::start(id, service, zone)?;
+        leaf.set_behaviour(sound);
         leaf.report(&store, "ready");
+        Ok(leaf)
+    };
+    let _first = start_leaf("i-first", "order-desk", "se-atl")?;
+    let mut pairs = Vec::new();
+    for (number, name) in names.iter().enumerate() {
+        pairs.push([
+            start_leaf(&format!("i-{number:02}-atl"), name, "se-atl")?,
+            start_leaf(&format!("i-{number:02}-bhm"), name, "se-bhm")?,
+        ]);
     }
     let fleet = Fleet::open(MACHINES)?;
+    let zones = ["se-atl", "se-bhm", "se-clt"];
     let mut nodes = Vec::new();
     for number in 1..=MACHINES {
         let zone = zones[usize::from(number - 1) % zones.len()];
@@ -49,18 +72,18 @@
     }
     fleet.wait_ready(&nodes)?;
     sleep(LEAD);
-    let routes = [("/first/", services[0]), ("/later/", services[1])];
-    store.put("op/config", &configuration(2, &routes, &services));
-    note("version 2, which adds the route /later/, is acknowledged");
+    store.put("op/config", &document(2, &routes, &services));
+    note("version 2, which adds the route /later/ over all shards, is acknowledged");
     sleep(Duration::from_secs(4));
-    // Returns how many requests were served on the first and on the later route, and how many were sent on each.
+    // Sends one request to each machine on each route, and counts those that were served, by route.
     let mut round = 0;
     let mut send_round = |served: &mut [usize; 2]| {
         round += 1;
-        for (route, path) in ["/first/1", "/later/1"].into_iter().enumerate() {
+        for (number, path) in ["/first/1", "/later/1"].into_iter().enumerate() {
             for node in &nodes {
-                let answer = fleet.send(node, path, &format!("r{round}-{route}-{}", node.number));
-                served[route] += usize::from(answer.is_ok_and(|it| it.status() == 200));
+                let id = format!("r{round}-{number}-{}", node.number);
+                let answer = fleet.send(node, path, &id);
+                served[number] += usize::from(answer.is_ok_and(|it| it.status() == 200));
             }
         }
         nodes.len()
@@ -72,34 +95,45 @@
             "a request before the disruption was not served",
         ));
     }
-    let start = elapsed();
     if trouble {
-        later.set_behaviour(Behaviour {
-            limit: Some(LIMIT),
-            work: WORK,
-            ..Behaviour::default()
-        });
+        for [_, lost] in &pairs[..LOST] {
+            lost.crash();
+        }
+        note(&format!("{LOST} of {} leafs are lost for good", 2 * SHARDS));
+        let lost_at = elapsed();
+        while elapsed() < lost_at + ENTRY_LIFETIME.as_secs_f64() {
+            send_round(&mut served);
+            sleep(PAUSE);
+        }
+        for [_, lost] in &pairs[..LOST] {
+            store.remove(&format!("servers/{}", lost.id));
+        }
+        for [left, _] in &pairs[..LOST] {
+            left.set_behaviour(Behaviour {
+                limit: Some(LIMIT),
+                work: WORK,
+            });
+        }
         note(&format!(
-            "{} names its limit of {LIMIT} requests a second from now on",
-            later.id
+            "the other leafs of these shards name a limit of {LIMIT} requests a second"
         ));
     }
-    while elapsed() < start + LIMITED {
+    let limited_at = elapsed();
+    while elapsed() < limited_at + LIMITED {
         send_round(&mut served);
         sleep(PAUSE);
     }
-    later.set_behaviour(Behaviour {
-        work: WORK,
-        ..Behaviour::default()
-    });
-    note(&format!("{} names no limit any more", later.id));
-    let lifted = elapsed();
-    while elapsed() < lifted + RECOVERY.max(STABLE) {
+    for [left, _] in &pairs[..LOST] {
+        left.set_behaviour(sound);
+    }
+    note("no leaf names a limit any more; each shard has a sound leaf");
+    let lifted_at = elapsed();
+    while elapsed() < lifted_at + RECOVERY {
         send_round(&mut served);
         sleep(PAUSE);
     }
     let (mut served, mut sent) = ([0; 2], 0);
-    while elapsed() < lifted + RECOVERY + OBSERVED {
+    while elapsed() < lifted_at + RECOVERY + OBSERVED {
         sent += send_round(&mut served);
         sleep(PAUSE);
     }
--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -3,6 +3,7 @@
 use std::io::{BufRead, BufReader, Error, ErrorKind, Result, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 /// A request or a response: its first line, its headers with names in lower case, and its body.
@@ -123,24 +124,45 @@
     Close,
 }
 
-/// Serves requests on a new loopback address until the process ends.
-pub fn serve<H>(handler: H) -> Result<SocketAddr>
+/// Serves requests on a new loopback address until the process ends or the server is stopped.
+pub fn serve<H>(handler: H) -> Result<Server>
 where
     H: Fn(Message) -> Reply + Send + Sync + 'static,
 {
     let listener = TcpListener::bind("127.0.0.1:0")?;
     let address = listener.local_addr()?;
     let handler = Arc::new(handler);
+    let stopped: Arc<AtomicBool> = Arc::default();
+    let is_stopped = Arc::clone(&stopped);
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            let handler = Arc::clone(&handler);
-            std::thread::spawn(move || serve_connection(stream, &*handler));
+            if is_stopped.load(Ordering::SeqCst) {
+                return;
+            }
+            let (handler, is_stopped) = (Arc::clone(&handler), Arc::clone(&is_stopped));
+            std::thread::spawn(move || serve_connection(stream, &*handler, &is_stopped));
         }
     });
-    Ok(address)
+    Ok(Server { address, stopped })
+}
+
+/// A running server.
+#[derive(Debug, Clone)]
+pub struct Server {
+    pub address: SocketAddr,
+    stopped: Arc<AtomicBool>,
+}
+
+impl Server {
+    /// Stops like a crashed process: nothing is answered any more, and the port is closed.
+    pub fn crash(&self) {
+        self.stopped.store(true, Ordering::SeqCst);
+        // Wakes the thread that accepts connections, so that it closes the port.
+        let _ = TcpStream::connect_timeout(&self.address, Duration::from_secs(1));
+    }
 }
 
-fn serve_connection<H>(mut stream: TcpStream, handler: &H)
+fn serve_connection<H>(mut stream: TcpStream, handler: &H, is_stopped: &AtomicBool)
 where
     H: Fn(Message) -> Reply,
 {
@@ -150,6 +172,9 @@
     };
     let mut reading = BufReader::new(reading);
     while let Ok(Some(request)) = Message::read(&mut reading) {
+        if is_stopped.load(Ordering::SeqCst) {
+            return;
+        }
         let is_written = match handler(request) {
             Reply::Answer(response) => response.write(&mut stream).is_ok(),
             Reply::Close => false,
--- a/review/standins/leaf.rs
+++ b/review/standins/leaf.rs
@@ -1,10 +1,9 @@
 //! A stand-in for a leaf: it runs each request at once and records it.
 
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use crate::http::{Message, Reply, serve};
+use crate::http::{Message, Reply, Server, serve};
 use crate::record;
 use crate::store::Store;
 
@@ -30,7 +29,7 @@
     pub id: String,
     service: String,
     zone: String,
-    address: SocketAddr,
+    server: Server,
     runs: Arc<Mutex<Vec<Run>>>,
     behaviour: Arc<Mutex<Behaviour>>,
 }
@@ -41,7 +40,7 @@
         let behaviour: Arc<Mutex<Behaviour>> = Arc::default();
         let (known, served) = (Arc::clone(&runs), service.to_owned());
         let (own, present) = (id.to_owned(), Arc::clone(&behaviour));
-        let address = serve(move |request| {
+        let server = serve(move |request| {
             let present = *present.lock().unwrap_or_else(PoisonError::into_inner);
             answer(&own, &served, present, &request, &known)
         })?;
@@ -49,7 +48,7 @@
             id: id.to_owned(),
             service: service.to_owned(),
             zone: zone.to_owned(),
-            address,
+            server,
             runs,
             behaviour,
         })
@@ -61,9 +60,10 @@
             id,
             service,
             zone,
-            address,
+            server,
             ..
         } = self;
+        let address = server.address;
         let entry = format!(
             "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"1\",\
              \"capacity\":4,\"state\":\"{state}\",\"warmup_left_ms\":0,\"sequence\":1,\"born\":1764900000000}}"
@@ -71,6 +71,12 @@
         store.put(&format!("servers/{id}"), &entry);
     }
 
+    /// Ends the leaf without notice.
+    pub fn crash(&self) {
+        self.server.crash();
+        record::log(&format!("leaf {} crashes", self.id));
+    }
+
     pub fn set_behaviour(&self, behaviour: Behaviour) {
         *self
             .behaviour
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -73,12 +73,15 @@
                 expiring.expire();
             }
         });
-        let address = serve(move |request| {
+        let server = serve(move |request| {
             handling
                 .handle(&request)
                 .map_or(Reply::Close, Reply::Answer)
         })?;
-        Ok(Self { address, shared })
+        Ok(Self {
+            address: server.address,
+            shared,
+        })
     }
 
     /// Writes an item, as the operator or a leaf does, and records the acknowledgement.
@@ -97,6 +100,15 @@
         ));
     }
 
+    /// Removes an item, as the store does with the entry of a leaf that is silent.
+    pub fn remove(&self, key: &str) {
+        let mut state = self.state();
+        let revision = state.contents.remove(key);
+        drop(state);
+        self.shared.1.notify_all();
+        record::log(&format!("store removes {key} at revision {revision}"));
+    }
+
     /// Returns a copy of the contents.
     pub fn copy(&self) -> Contents {
         self.state().contents.clone()
@@ -318,10 +330,16 @@
             .map(|(key, _)| key.clone())
             .collect();
         for key in keys {
-            self.items.remove(&key);
+            self.remove(&key);
+        }
+    }
+
+    fn remove(&mut self, key: &str) -> u64 {
+        if self.items.remove(key).is_some() {
             self.revision += 1;
-            self.history.push((self.revision, key));
+            self.history.push((self.revision, key.to_owned()));
         }
+        self.revision
     }
 
     /// Returns the last change of each key with the prefix after a revision, in the order of the revisions.
