--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -1,5 +1,6 @@
 //! The cases. Each returns the violations of its rule.
 
+mod evacuated_again;
 mod limit_after_lull;
 mod limit_lifted;
 mod lost_machines;
@@ -30,6 +31,7 @@
         "lost-machines" => lost_machines::run(trouble),
         "limit-after-lull" => limit_after_lull::run(trouble),
         "silent-watch" => silent_watch::run(trouble),
+        "evacuated-again" => evacuated_again::run(trouble),
         "moved-era" => moved_era::run(trouble),
         "mixed-replicas" => mixed_replicas::run(trouble),
         _ => Err(std::io::Error::other("no such case")),
