--- a/review/standins/cases/moved_era.rs
+++ b/review/standins/cases/moved_era.rs
@@ -67,7 +67,7 @@
     }
     if trouble {
         let before = store.revision();
-        store.set_away(true);
+        store.set_away(true, false);
         note("the store is away");
         sleep(AWAY);
         store.restore(copy);
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -10,6 +10,8 @@
 
 /// The number of items in one page of a range read.
 const PAGE_ITEMS: usize = 50;
+/// For how long the connection of a lost call stays open, longer than a case takes.
+const LOST_CALL_TIME: Duration = Duration::from_secs(300);
 /// How often leases are checked for their end.
 const LEASE_CHECK_PERIOD: Duration = Duration::from_millis(50);
 
@@ -37,8 +39,9 @@
     contents: Contents,
     /// The header `Store-Era` of all answers, if the store sends one.
     era: Option<u64>,
-    /// Whether the store answers nothing.
+    /// Whether the store is away, and answers no call that it gets or that waits.
     away: bool,
+    silent: bool,
     /// An older copy from which a replica answers stale reads after the first page.
     lagging: Option<Contents>,
 }
@@ -119,9 +122,12 @@
         self.state().contents.revision
     }
 
-    /// Sets whether the store answers nothing; waiting calls are cut off.
-    pub fn set_away(&self, away: bool) {
-        self.state().away = away;
+    /// Sets whether the store is away. Calls that it gets meanwhile or that wait are never answered; if `silent`,
+    /// their connections stay open.
+    pub fn set_away(&self, away: bool, silent: bool) {
+        let mut state = self.state();
+        (state.away, state.silent) = (away, silent);
+        drop(state);
         self.shared.1.notify_all();
     }
 
@@ -165,7 +171,7 @@
 
     fn handle(&self, request: &Message) -> Option<Message> {
         if self.state().away {
-            return None;
+            return self.lose_call();
         }
         let mut response = match (request.method(), request.path()) {
             ("GET", "/-/kv-range") => self.range(request),
@@ -208,6 +214,14 @@
         Some(response)
     }
 
+    /// Ends a call without an answer.
+    fn lose_call(&self) -> Option<Message> {
+        if self.state().silent {
+            std::thread::sleep(LOST_CALL_TIME);
+        }
+        None
+    }
+
     fn range(&self, request: &Message) -> Message {
         let state = self.state();
         let prefix = request.parameter("prefix").unwrap_or_default();
@@ -260,7 +274,8 @@
         let mut state = self.state();
         loop {
             if state.away {
-                return None;
+                drop(state);
+                return self.lose_call();
             }
             if after > state.contents.revision {
                 return Some(Message::json(410, "{}".into()));
