Read the store's revision while a watch waits, so that a silent connection hides no change

Cause: a watch call waits 20 s, and only renewals of the lease, on another connection, would have shown earlier that its connection is dead. They also extended the time for which the settings count as the newest, so nodes denied routes that had been added.

Ruled out: a retry on another silent connection and a dropped change; both leave a line or a count, and there was none.

Change: while a watch waits, the store's revision is read every 1.5 s on another connection; a watch that has not delivered it is called again on a new one. Freshness rests on answers that show the revision.

--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -22,8 +22,8 @@
 use crate::time::Moment;
 use crate::version::item::{Codec, Item, ItemKind, Node};
 
-/// How long the last answer of the store, or the last heartbeat of a peer with the same state, proves that
-/// no newer route table exists. A change must be in force within three seconds.
+/// How long the last answer of the store that shows its revision, or the last heartbeat of a peer with the same state,
+/// proves that no newer route table exists. A change must be in force within three seconds.
 const FRESHNESS_PERIOD: Duration = Duration::from_secs(2);
 /// How long a node that watches the store may lack changes that another node has, before it restarts its
 /// watch and fetches them from that node. A watch holds changes back for at most 400 ms to batch them, or for
@@ -264,10 +264,9 @@
                 self.watch_confirmed = false;
             }
             Notification::Failed => {}
-            Notification::Renewed => {
-                if self.watch_confirmed && self.store_available {
-                    self.shared
-                        .extend_freshness_if_known(answered_at + FRESHNESS_PERIOD);
+            Notification::Confirmed => {
+                if self.watch_confirmed {
+                    self.shared.extend_freshness(answered_at + FRESHNESS_PERIOD);
                 }
             }
             Notification::Changed {
@@ -860,12 +859,4 @@
         self.fresh_until
             .fetch_max(until.as_micros(), atomic::Ordering::AcqRel);
     }
-
-    /// Extends the freshness if the state has been confirmed before. Called while the store answers, because
-    /// a watch without changes returns only when its timeout ends.
-    fn extend_freshness_if_known(&self, until: Moment) {
-        if self.fresh_until.load(atomic::Ordering::Acquire) > 0 {
-            self.extend_freshness(until);
-        }
-    }
 }
--- a/src/process/follow.rs
+++ b/src/process/follow.rs
@@ -4,8 +4,8 @@
 //! nodes its data centre has, so that the node can decide when to list the store: hundreds of nodes that start
 //! at once and list it together would fill its link for a second. One task for each prefix then lists it and,
 //! on the few nodes that are elected to do so, watches it. A watch is restarted
-//! from the last revision if its connection breaks, or if other nodes have changes that it has not delivered.
-//! While the store is unavailable, only the lease task calls it, because each call is paid for.
+//! from the last revision if its connection breaks or falls silent, or if other nodes have changes that it has not
+//! delivered. While the store is unavailable, only the lease task calls it, because each call is paid for.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU16, AtomicU32, AtomicU64, Ordering};
@@ -13,20 +13,24 @@
 
 use rand::Rng;
 use tokio::sync::Notify;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 use tokio_util::task::AbortOnDropHandle;
 
 use super::meters::{Meters, StoreCallLabels};
 use crate::connection::keyspace::{
-    Batch, Era, Error, Event, Freshness, Item, Keyspace, Lease, Revision,
+    Batch, Era, Error, Event, Freshness, Item, Keyspace, Lease, Page, Revision,
 };
 
 /// How long one watch call waits for changes at the store before it returns without any. A connection that
-/// broke without an error is detected earlier: by the renewals of the lease, or by other nodes that have
-/// newer changes.
+/// broke without an error is detected earlier, because the store's revision is read meanwhile.
 pub const WATCH_WAIT_MAX: Duration = Duration::from_secs(20);
 /// The time that a watch call may take in addition to its wait.
 pub const WATCH_TIMEOUT_MARGIN: Duration = Duration::from_millis(1_500);
+/// The interval at which the store's revision is read while a watch waits. A change must be in force within three
+/// seconds, also if the connection of the watch has fallen silent.
+pub const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(1_500);
+/// How long a watch may take to deliver a change that the store's revision shows.
+const DELIVERY_TIME_MAX: Duration = Duration::from_millis(100);
 /// The first pause between a watch call with changes and the next one, so that changes arrive in batches.
 pub const BATCH_PAUSE_MIN: Duration = Duration::from_millis(40);
 /// The pause doubles up to this one during a burst of changes, such as a start of all targets. Each call is
@@ -86,8 +90,8 @@
         /// The items that hold the records.
         items: Vec<Item>,
     },
-    /// The store has answered a renewal of this node's lease.
-    Renewed,
+    /// A watch has delivered every change that the store has made.
+    Confirmed,
     /// The store has come back from an older copy. Notifications after this one come from that copy.
     Restored {
         /// The era that has begun.
@@ -115,6 +119,8 @@
 #[derive(Debug)]
 struct Shared {
     meters: Meters,
+    /// The key of the node's own record.
+    record_key: String,
     available: AtomicBool,
     consecutive_failures: AtomicU32,
     /// The [`Era`] of the store in which its answers were last notified.
@@ -142,7 +148,7 @@
     /// Starts to follow the prefixes and to publish `record`, a key with its value, under a lease. The
     /// prefixes are listed after [`Self::start_listing`]; `neighbours_prefix` is read at once.
     ///
-    /// `notify` is called from the tasks for each listing, watch call, renewal and change of availability.
+    /// `notify` is called from the tasks for each listing, watch call, confirmation and change of availability.
     pub fn spawn<K, F>(
         keyspace: &Arc<K>,
         prefixes: &[&'static str],
@@ -157,6 +163,7 @@
     {
         let shared = Arc::new(Shared {
             meters,
+            record_key: record.0.clone(),
             available: AtomicBool::new(true),
             consecutive_failures: AtomicU32::new(0),
             era: AtomicU16::new(0),
@@ -419,6 +426,7 @@
             Freshness::AllowStale | Freshness::Latest => WATCH_WAIT_MAX,
         };
         let mut pause = BATCH_PAUSE_MIN;
+        let mut answered = Instant::now();
         loop {
             // A call that does not wait is made even if another node watches the store. Before a call that
             // waits, this node itself waits until it should watch.
@@ -449,6 +457,12 @@
                     wait_until_available(&shared).await;
                     continue;
                 }
+                () = confirm_until_missed(&*keyspace, &shared, prefix, after, answered, &notify),
+                    if wait > Duration::ZERO =>
+                {
+                    wait = Duration::ZERO;
+                    continue;
+                }
             };
             match batch {
                 Ok(Batch { revision, .. }) if revision.era() > after.era() => {
@@ -458,6 +472,7 @@
                     shared.record_success(revision.era(), &notify);
                     after = after.max(revision);
                     wait = WATCH_WAIT_MAX;
+                    answered = Instant::now();
                     let has_events = !events.is_empty();
                     notify(Notification::Changed {
                         prefix,
@@ -493,6 +508,46 @@
     }
 }
 
+/// Confirms in intervals that a watch has delivered every change, by reading the store's revision on another
+/// connection. Returns when the watch must be started again: it has not delivered a change, or the store has not
+/// answered, so that the connection of the watch may have broken as well.
+async fn confirm_until_missed<K, F>(
+    keyspace: &K,
+    shared: &Shared,
+    prefix: &'static str,
+    delivered: Revision,
+    mut answered: Instant,
+    notify: &F,
+) where
+    K: Keyspace,
+    F: Fn(Notification),
+{
+    loop {
+        sleep_until(answered + CONFIRMATION_INTERVAL).await;
+        let read = keyspace.list(&shared.record_key, None, Freshness::Latest);
+        match call_with_timeout(&shared.meters, "confirm", CALL_TIMEOUT, read).await {
+            Ok(Page { revision, .. }) if revision <= delivered => {
+                shared.record_success(revision.era(), notify);
+                notify(Notification::Confirmed);
+                answered = Instant::now();
+            }
+            Ok(Page { revision, .. }) => {
+                shared.record_success(revision.era(), notify);
+                sleep(DELIVERY_TIME_MAX).await;
+                log::info!(
+                    prefix, delivered = delivered.0, revision = revision.0;
+                    "watch has not delivered a change; it is started again"
+                );
+                return;
+            }
+            Err(cause) => {
+                shared.record_failure(&cause, notify);
+                return wait_until_available(shared).await;
+            }
+        }
+    }
+}
+
 /// Waits until the condition holds. Returns whether it had to wait.
 async fn wait_until(shared: &Shared, condition: fn(&Shared) -> bool) -> bool {
     let mut has_waited = false;
@@ -587,7 +642,6 @@
             Ok(held) => {
                 lease = Some(held);
                 shared.record_success(keyspace.era(), &notify);
-                notify(Notification::Renewed);
                 if held.1 != keyspace.era() {
                     RETRY_DELAY_MIN
                 } else if shared.serving.load(Ordering::Acquire) {
--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -20,6 +20,8 @@
     read_json,
 };
 
+/// The path of watches.
+const WATCH_PATH: &str = "/-/kv-watch";
 /// The maximum number of items in one page of a range read.
 const PAGE_MAX_ITEMS: usize = 50;
 /// The maximum number of writes and deletions kept for watches; older ones are compacted.
@@ -35,6 +37,8 @@
     None,
     /// The store accepts calls and never answers.
     NeverAnswer,
+    /// The store never answers watches.
+    NeverAnswerWatch,
     /// The store answers with status 503 and does not execute the call.
     Unavailable,
     /// The store closes each connection without an answer and does not execute the call.
@@ -366,9 +370,11 @@
 impl Handle for Handler {
     async fn call(self: Arc<Self>, request: Request<Incoming>) -> Reply {
         let fault = *self.fault.borrow();
+        let is_watch = request.uri().path() == WATCH_PATH;
         match fault {
             Fault::None | Fault::DropAnswer => {}
-            Fault::NeverAnswer => std::future::pending().await,
+            Fault::NeverAnswerWatch if !is_watch => {}
+            Fault::NeverAnswer | Fault::NeverAnswerWatch => std::future::pending().await,
             Fault::Unavailable => {
                 return Ok(error_response(StatusCode::SERVICE_UNAVAILABLE, "busy"));
             }
@@ -388,6 +394,7 @@
         let fault = *self.fault.borrow();
         match fault {
             Fault::NeverAnswer => std::future::pending().await,
+            Fault::NeverAnswerWatch if is_watch => std::future::pending().await,
             Fault::Reset => Err(Disconnect),
             _ => reply,
         }
@@ -408,7 +415,7 @@
                 shared.count_call("range");
                 shared.range(&query)
             }
-            (&Method::GET, "/-/kv-watch") => {
+            (&Method::GET, WATCH_PATH) => {
                 shared.count_call("watch");
                 shared.watch(&query).await
             }
