Count a listing as complete up to the lowest revision of its pages

Cause: a stale listing counted as complete up to the revision of its first page. Stale pages may come from replicas of different age, so a change between a later page and the first one was neither listed nor watched.

Ruled out: a dropped change (it leaves a line) and an older copy of another node (none is fetched while the own revision is not lower). The new line 'store listed' shows it: lowest page 163, newest page 164, the change at 164.

Change: the lowest revision of the pages is that of the listing.

--- a/src/process/follow.rs
+++ b/src/process/follow.rs
@@ -567,7 +567,8 @@
     wait_until(shared, Shared::is_available).await;
 }
 
-/// Lists all items of a prefix, page by page. Returns them with the revision of the first page.
+/// Lists all items of a prefix, page by page. Returns them with the lowest revision of a page, up to which the listing
+/// has every change.
 async fn list_all<K>(
     keyspace: &K,
     meters: &Meters,
@@ -578,7 +579,7 @@
     K: Keyspace,
 {
     let mut items: Vec<Item> = Vec::new();
-    let mut first = None;
+    let (mut lowest, mut highest): (Option<Revision>, _) = (None, Revision::default());
     loop {
         let after = items.last().map(|item| item.key.clone());
         let page = call_with_timeout(
@@ -588,17 +589,22 @@
             keyspace.list(prefix, after.as_deref(), freshness),
         )
         .await?;
-        // The pages are not one snapshot. The watch from the revision of the first page returns all changes
-        // since then again.
-        let revision = *first.get_or_insert(page.revision);
-        if page.revision.era() != revision.era() {
+        if lowest.is_some_and(|lowest| lowest.era() != page.revision.era()) {
             return Err(Error::Lost(
                 "the store has come back from an older copy between two pages".to_owned(),
             ));
         }
+        // The pages are not one snapshot, and stale ones may come from replicas of different age.
+        let revision = lowest.map_or(page.revision, |lowest| lowest.min(page.revision));
+        lowest = Some(revision);
+        highest = highest.max(page.revision);
         let is_empty_page = page.items.is_empty();
         items.extend(page.items);
         if !page.more || is_empty_page {
+            log::info!(
+                prefix, items = items.len(), revision = revision.0, newest_page = highest.0;
+                "store listed"
+            );
             return Ok((items, revision));
         }
     }
--- a/tests/follow.rs
+++ b/tests/follow.rs
@@ -38,6 +38,8 @@
     events: Vec<Event>,
     /// How often the connections of waiting watches have fallen silent.
     silences: usize,
+    /// The revision of the replica that answers stale reads of all pages but the first.
+    lagging: Option<Revision>,
 }
 
 impl State {
@@ -90,6 +92,16 @@
     fn silence_watches(&self) {
         self.state().silences += 1;
     }
+
+    /// Returns the contents, as keys and values.
+    fn contents(&self) -> Vec<(String, Bytes)> {
+        let state = self.state();
+        let items = state.items_at(state.revision());
+        let values = items.values();
+        values
+            .map(|item| (item.key.clone(), item.value.clone()))
+            .collect()
+    }
 }
 
 impl Keyspace for FaultyStore {
@@ -97,9 +109,18 @@
         Era::default()
     }
 
-    async fn list(&self, _: &str, after: Option<&str>, _: Freshness) -> Result<Page, Error> {
+    async fn list(
+        &self,
+        _: &str,
+        after: Option<&str>,
+        freshness: Freshness,
+    ) -> Result<Page, Error> {
         let state = self.state();
-        let revision = state.revision();
+        let lagging = state.lagging.filter(|_| freshness == Freshness::AllowStale);
+        let revision = match (after, lagging) {
+            (Some(_), Some(lagging)) => lagging,
+            _ => state.revision(),
+        };
         let items = state.items_at(revision);
         let rest = items.values().filter(|it| Some(it.key.as_str()) > after);
         let rest: Vec<Item> = rest.copied().cloned().collect();
@@ -195,6 +216,14 @@
             self.follower.set_watching(Some(self.mirror.revision()));
         }
     }
+
+    /// Returns the contents of the mirror, as keys and values.
+    fn contents(&self) -> Vec<(String, Bytes)> {
+        let Export::Whole { items, .. } = self.mirror.export(Revision::default()) else {
+            panic!("an export from the start is whole");
+        };
+        items.into_iter().map(|it| (it.key, it.value)).collect()
+    }
 }
 
 /// Guards against a silent connection of a watch that hides changes of the store, while calls on other connections
@@ -219,3 +248,18 @@
         "the change was not delivered in {bound:?}"
     );
 }
+
+/// Guards against a change that no watch delivers, because a stale listing counts as complete up to the revision of a
+/// page that is newer than a later one.
+#[tokio::test(start_paused = true)]
+async fn changes_between_pages_of_a_stale_listing_are_delivered() {
+    let store = FaultyStore::open(&["a", "b", "c", "d", "e"]);
+    let lagging = store.state().revision();
+    store.write("e", "draining");
+    store.write("a", "draining");
+    store.state().lagging = Some(lagging);
+    let mut node = Node::spawn(&store);
+    let newest = store.state().revision();
+    node.follow_to(newest).await;
+    assert_eq!(node.contents(), store.contents());
+}
