Ignore a written key that the mirror lacks if its revision is not higher than the mirror's

Cause: a whole copy of another node shows no removals, so a stale listing that arrives later could bring a removed key back; a node that takes later changes from other nodes never learns of the removal, as its revision is not lower.

Change: the mirror has every change up to its revision, so a key that it lacks was removed by then.

--- a/src/process/mirror.rs
+++ b/src/process/mirror.rs
@@ -254,7 +254,9 @@
             return None;
         }
         let known = self.items.get(&item.key);
-        if known.is_some_and(|known| known.revision >= item.revision) {
+        // The mirror has every change up to its revision, so a key that it lacks was removed before.
+        let known_revision = known.map_or(self.revision, |known| known.revision);
+        if known_revision >= item.revision {
             return None;
         }
         let has_same_value = known.is_some_and(|known| known.bytes == item.value);
--- a/tests/mirror.rs
+++ b/tests/mirror.rs
@@ -68,6 +68,20 @@
     );
 }
 
+/// Guards against a removed key coming back, when an older listing arrives after the copy of another node, which does
+/// not show the removal.
+#[test]
+fn does_not_restore_key_that_a_copy_lacks_from_older_listing() {
+    let mut mirror = Mirror::open("");
+    mirror.import(Export::Whole {
+        items: vec![item("b", "1", 9)],
+        revision: Revision(10),
+    });
+    let listing = vec![item("a", "1", 5), item("b", "1", 9), item("c", "1", 11)];
+    let changes = mirror.replace(listing, Revision(8));
+    assert_eq!(changes, [put_change("c", "1")]);
+}
+
 /// Guards against the loss of a new key, when an older listing that lacks it arrives later.
 #[test]
 fn keeps_items_written_after_listing() {
