Answer every request before a planned stop ends

Cause: at the end of a planned stop the node dropped requests that still waited for their targets, so that callers with deadlines beyond the stop got a closed connection although a target had run the request.

Ruled out, as far as tests show: requests read while the server closes, and answers discarded with unread bytes; planned_stop_under_load_answers_every_accepted_request passes without the change.

Change: from its beginning on, a planned stop limits the deadline of all requests to 0.7 s before the end of the grace period. A request then ends as at its deadline, with the parts that it has.

--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -18,6 +18,7 @@
 use arc_swap::ArcSwapOption;
 use ractor::ActorRef;
 use rand::Rng;
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
 use super::budget::{Bound, Budget};
@@ -45,6 +46,8 @@
 pub const DRAIN_PERIOD: Duration = Duration::from_millis(3_400);
 /// The last part of the platform's grace period, which is reserved for the exit of the process.
 pub const EXIT_MARGIN: Duration = Duration::from_millis(500);
+/// How long before that part all running requests are answered, so that their answers still reach the callers.
+pub const LAST_ANSWER_MARGIN: Duration = Duration::from_millis(200);
 
 /// The configuration of an entry instance.
 #[derive(Debug, Clone)]
@@ -125,6 +128,8 @@
     /// How long a planned stop may take, in microseconds.
     grace_period_us: AtomicU64,
     stopping: AtomicBool,
+    /// When every request must have been answered: never, unless a planned stop has begun.
+    answer_by: watch::Sender<Moment>,
     /// Cancelled when the control actor has ended.
     failed: CancellationToken,
     running_requests: AtomicUsize,
@@ -255,6 +260,7 @@
                 u64::try_from(config.grace_period.as_micros()).unwrap_or(u64::MAX),
             ),
             stopping: AtomicBool::new(false),
+            answer_by: watch::Sender::new(Moment::NEVER),
             failed: CancellationToken::new(),
             running_requests: AtomicUsize::new(0),
             lag: Mutex::new(Lag::open(clock.now())),
@@ -355,7 +361,8 @@
     /// before the end of the grace period.
     ///
     /// The caller must then stop accepting requests. A node that accepted them until the end would cut the last
-    /// ones off.
+    /// ones off. Requests whose targets have not answered [`LAST_ANSWER_MARGIN`] before the end are answered as at
+    /// their deadline.
     pub async fn stop(&self) -> Duration {
         self.shared.stopping.store(true, Ordering::Release);
         let start = self.shared.clock.now();
@@ -363,6 +370,13 @@
         let grace_period =
             Duration::from_micros(self.shared.grace_period_us.load(Ordering::Acquire));
         let serving_time = grace_period.saturating_sub(EXIT_MARGIN);
+        let answer_time = serving_time.saturating_sub(LAST_ANSWER_MARGIN);
+        self.shared.answer_by.send_replace(start + answer_time);
+        log::info!(
+            running = self.shared.running_requests.load(Ordering::Relaxed),
+            answer_ms = answer_time.as_millis() as u64;
+            "running requests are answered before the planned stop ends"
+        );
         tokio::time::sleep(DRAIN_PERIOD.min(serving_time)).await;
         self.shared.clock.now().until(start + serving_time)
     }
--- a/src/process/entry/serve.rs
+++ b/src/process/entry/serve.rs
@@ -151,6 +151,11 @@
     P: Protocol,
 {
     let call = Arc::new(call);
+    let mut answer_by = shared.answer_by.subscribe();
+    let plan = Plan {
+        deadline: plan.deadline.min(*answer_by.borrow_and_update()),
+        ..plan
+    };
     let (deadline, expected) = (plan.deadline, plan.expected_latency);
     let route = Arc::clone(&plan.route);
     let mut fanout = Fanout::new(plan);
@@ -203,6 +208,8 @@
                 Event::Result { subrequest, outcome }
             }
             () = &mut sleep => Event::Tick,
+            // Fails only when the sender is dropped, which this task shares.
+            Ok(()) = answer_by.changed() => Event::AnswerBy(*answer_by.borrow_and_update()),
         };
     }
 }
--- a/src/request/fanout.rs
+++ b/src/request/fanout.rs
@@ -82,6 +82,8 @@
     },
     /// The moment that [`Fanout::next_wake`] returned has come.
     Tick,
+    /// The request must be answered by this moment, because the node stops then.
+    AnswerBy(Moment),
 }
 
 /// An output of the state machine, which the process carries out.
@@ -299,6 +301,7 @@
                     self.send_due(shard_index, now, placement, &mut actions);
                 }
             }
+            Event::AnswerBy(moment) => self.plan.deadline = self.plan.deadline.min(moment),
         }
         if !awaits_tick && let Some(verdict) = self.verdict(now, placement) {
             self.finished = true;
--- a/tests/fanout.rs
+++ b/tests/fanout.rs
@@ -564,3 +564,31 @@
     assert!(verdict.is_some());
     assert_eq!(is_refusal, refused, "{verdict:?}");
 }
+
+/// Guards against a request that is still open when a node that stops must have answered, and against a query that then
+/// loses the parts it has.
+#[rstest]
+#[case::query_with_enough_parts(3, true)]
+#[case::query_with_too_few_parts(2, false)]
+fn request_is_answered_before_the_node_stops(#[case] answered: usize, #[case] is_served: bool) {
+    let mut driver = RequestDriver::open(
+        Kind::Idempotent,
+        gather(4, 0.75),
+        4,
+        placement_with_pairs(4),
+    );
+    driver.start();
+    let answer_by = at(60);
+    driver.step(Event::AnswerBy(answer_by), at(10));
+    for subrequest in 0..answered {
+        driver.end(subrequest, succeeded(1), at(20));
+    }
+    tick_until(&mut driver, at(59));
+    assert_eq!(driver.verdict, None);
+    tick_until(&mut driver, answer_by);
+    match driver.verdict {
+        Some(Verdict::Merged { missing_shards, .. }) if is_served => assert_eq!(missing_shards, 1),
+        Some(Verdict::Expired) if !is_served => {}
+        verdict => panic!("{verdict:?}"),
+    }
+}
