Keep the position of a node together with the number of nodes that it belongs to

Cause: the check whether a request can be served took a node's position from the target's schedule and the number of nodes from the present. After nodes were lost, zero other nodes were left, and zero times infinity panicked in Duration, for every request to the service.

Change: pacing::Place holds both, and is derived anew when either changes. Intervals go through the checked conversion.

Measured: limited_target_stays_available_after_nodes_are_lost panicked before and passes now.

--- a/src/process/pacing.rs
+++ b/src/process/pacing.rs
@@ -97,7 +97,7 @@
     own: u64,
     /// Hashes of the names of the nodes that serve callers, and of this node.
     nodes: Vec<u64>,
-    /// The number of changes of `nodes`.
+    /// The number of changes of `nodes` and `node_count`.
     nodes_version: u64,
     /// Whether the other nodes count this one among those that serve callers.
     is_serving: bool,
@@ -116,10 +116,18 @@
     /// When the last request was sent; before the first one, when the bound became known.
     since: Moment,
     has_sent: bool,
-    /// This node's position among the nodes for the target.
+    place: Place,
+    /// The `nodes_version` for which `place` holds.
+    place_version: u64,
+}
+
+/// The place of this node in the order of the nodes for a target.
+#[derive(Debug, Clone, Copy)]
+struct Place {
+    /// The number of nodes that come before this one, less than `nodes`.
     position: usize,
-    /// The `nodes_version` for which `position` holds.
-    position_version: u64,
+    /// The number of nodes by which the rate is divided.
+    nodes: usize,
 }
 
 /// This node's part of a rate.
@@ -160,15 +168,15 @@
         if !hashes.contains(&self.own) {
             hashes.push(self.own);
         }
-        if hashes != self.nodes {
-            self.nodes = hashes;
-            self.nodes_version += 1;
-        }
+        let previous_count = self.node_count;
+        let is_changed = hashes != self.nodes;
+        self.nodes = hashes;
         if self.nodes.len() >= self.node_count_peak || now >= self.peak_until {
             self.node_count_peak = self.nodes.len();
             self.peak_until = now + DEPARTED_NODES_COUNT_FOR;
         }
         self.node_count = self.node_count_peak.max(node_count_min);
+        self.nodes_version += u64::from(is_changed || self.node_count != previous_count);
     }
 
     /// Sets whether the other nodes count this one among those that serve callers.
@@ -182,37 +190,29 @@
             self.schedules
                 .retain(|_, schedule| now.since(schedule.since) < SCHEDULE_LIFETIME);
         }
-        let version = self.nodes_version;
-        let is_current = |schedule: &Schedule| schedule.position_version == version;
-        if !self.schedules.get(target).is_some_and(is_current) {
-            let position = self.position(target);
-            let schedule = Schedule {
-                since: now,
-                has_sent: false,
-                position,
-                position_version: version,
-            };
-            self.schedules
-                .entry(Arc::clone(target))
-                .and_modify(|known| {
-                    known.position = position;
-                    known.position_version = version;
-                })
-                .or_insert(schedule);
-        }
+        let schedule = self.schedule(target, now);
+        self.schedules.insert(Arc::clone(target), schedule);
         self.next_send(target, rate, now) <= now
     }
 
+    /// Returns the schedule for the target in the present order of the nodes.
+    fn schedule(&self, target: &str, now: Moment) -> Schedule {
+        match self.schedules.get(target).copied() {
+            Some(known) if known.place_version == self.nodes_version => known,
+            // A target without a schedule has had no request since its bound became known.
+            known => Schedule {
+                since: known.map_or(now, |known| known.since),
+                has_sent: known.is_some_and(|known| known.has_sent),
+                place: self.place(target),
+                place_version: self.nodes_version,
+            },
+        }
+    }
+
     /// Returns when this node may send the next request to the target.
     pub fn next_send(&self, target: &str, rate: Rate, now: Moment) -> Moment {
-        // A target without a schedule has had no request since its bound became known.
-        let schedule = self.schedules.get(target).copied().unwrap_or(Schedule {
-            since: now,
-            has_sent: false,
-            position: self.position(target),
-            position_version: self.nodes_version,
-        });
-        match self.part(schedule.position, rate) {
+        let schedule = self.schedule(target, now);
+        match self.part(schedule.place, rate) {
             Part::Sender(_) if !schedule.has_sent => schedule.since,
             Part::Trial { first, .. } if !schedule.has_sent => schedule.since + first,
             Part::Sender(interval) | Part::Trial { interval, .. } => schedule.since + interval,
@@ -233,31 +233,35 @@
         self.schedules.remove(target);
     }
 
-    /// Returns the number of nodes that come before this one in the order for the target.
-    fn position(&self, target: &str) -> usize {
+    /// Returns the place of this node in the order for the target.
+    fn place(&self, target: &str) -> Place {
         let weight = |node: u64| xxh3_64_with_seed(target.as_bytes(), node);
         let own_weight = weight(self.own);
         let heavier = self.nodes.iter().filter(|it| weight(**it) > own_weight);
-        heavier.count()
+        Place {
+            position: heavier.count(),
+            nodes: self.node_count,
+        }
     }
 
-    fn part(&self, position: usize, rate: Rate) -> Part {
+    fn part(&self, Place { position, nodes }: Place, rate: Rate) -> Part {
         if rate.has_trials && !self.is_serving {
             return Part::Trial {
                 first: STANDBY_TRIAL_INTERVAL,
                 interval: STANDBY_TRIAL_INTERVAL,
             };
         }
-        let senders = rate.senders_max.min(self.node_count);
+        let senders = rate.senders_max.min(nodes);
         if rate.per_second <= 0.0 {
             Part::None
         } else if position < senders {
             Part::Sender(seconds(senders as f64 / rate.per_second))
         } else if rate.has_trials {
-            let others = self.node_count - senders;
+            let others = nodes - senders;
             let interval = rate.trial_interval(others);
+            let share = (position - senders + 1) as f64 / others as f64;
             Part::Trial {
-                first: interval.mul_f64((position - senders + 1) as f64 / others as f64),
+                first: seconds(interval.as_secs_f64() * share),
                 interval,
             }
         } else {
--- a/src/process/placement.rs
+++ b/src/process/placement.rs
@@ -294,7 +294,7 @@
 
     /// Returns whether a target of the service takes work by a moment, that is, can be reached, is not avoided and
     /// has room within the limit that it states.
-    pub fn has_available_target(&self, service: &str, by: Moment, now: Moment) -> bool {
+    pub fn has_available_target(&mut self, service: &str, by: Moment, now: Moment) -> bool {
         self.available_at(service, now)
             .is_some_and(|moment| moment <= by)
     }
@@ -495,7 +495,7 @@
 
     /// Returns the earliest time at which a target of the service may be tried, or `None` if it has no usable
     /// target.
-    pub fn available_at(&self, service: &str, now: Moment) -> Option<Moment> {
+    pub fn available_at(&mut self, service: &str, now: Moment) -> Option<Moment> {
         self.registry
             .usable(service)
             .filter_map(|(key, target)| Some((target, self.health.get(key)?)))
--- a/src/request/fanout.rs
+++ b/src/request/fanout.rs
@@ -311,7 +311,7 @@
     }
 
     /// Returns a refusal if too few services have a target for the least coverage.
-    fn refusal_if_infeasible(&self, now: Moment, placement: &Placement) -> Option<Verdict> {
+    fn refusal_if_infeasible(&self, now: Moment, placement: &mut Placement) -> Option<Verdict> {
         let services = || self.shards.iter().map(|shard| &*shard.service);
         // A query that has to wait for several targets would take from others what they could use now.
         let available_by = match self.record_limit {
@@ -621,7 +621,7 @@
                 .saturating_sub(self.plan.reply_margin)
     }
 
-    fn verdict(&mut self, now: Moment, placement: &Placement) -> Option<Verdict> {
+    fn verdict(&mut self, now: Moment, placement: &mut Placement) -> Option<Verdict> {
         let deadline_passed = now >= self.plan.deadline;
         if self.record_limit.is_none() {
             return self.single_target_verdict(deadline_passed, now, placement);
@@ -638,7 +638,7 @@
     }
 
     /// Returns the verdict at the deadline, which is a refusal if no target can have run the request.
-    fn expired_verdict(&self, now: Moment, placement: &Placement) -> Verdict {
+    fn expired_verdict(&self, now: Moment, placement: &mut Placement) -> Verdict {
         if self.may_have_run() {
             Verdict::Expired
         } else {
@@ -650,7 +650,7 @@
         &mut self,
         deadline_passed: bool,
         now: Moment,
-        placement: &Placement,
+        placement: &mut Placement,
     ) -> Option<Verdict> {
         match &self.shards.first()?.progress {
             Progress::Answered(answer) | Progress::Failed(Failure::TargetAnswer(answer)) => {
@@ -683,7 +683,7 @@
     }
 
     /// Returns a refusal if no target can have run the request, and an unknown or expired outcome otherwise.
-    fn no_answer_verdict(&self, reason: Reason, now: Moment, placement: &Placement) -> Verdict {
+    fn no_answer_verdict(&self, reason: Reason, now: Moment, placement: &mut Placement) -> Verdict {
         if self.may_have_run() {
             return match reason {
                 Reason::Timeout => Verdict::Expired,
--- a/tests/pacing.rs
+++ b/tests/pacing.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg32;
 use redwinggrade::process::pacing::{Pacing, Rate};
 use redwinggrade::time::Moment;
 use rstest::rstest;
@@ -181,3 +183,37 @@
     );
     assert_eq!(sent.len(), 2, "one request in 30 s");
 }
+
+/// Guards against arithmetic that panics for node sets that grow and shrink, and for any number as a rate.
+#[test]
+fn any_rate_and_any_change_of_nodes_has_a_next_request_or_none() {
+    const STEPS: usize = 20_000;
+    let mut random = Pcg32::seed_from_u64(1);
+    let names: Vec<String> = (0..40).map(|n| format!("n{n}")).collect();
+    let targets: Vec<Arc<str>> = (0..8).map(|n| Arc::from(format!("t{n}"))).collect();
+    let mut pacing = Pacing::open(&names[0]);
+    let mut now = Moment::from_millis(10_000);
+    for _ in 0..STEPS {
+        now = now + Duration::from_millis(random.random_range(0..4_000));
+        let per_second = match random.random_range(0..6) {
+            0 => 0.0,
+            1 => f64::INFINITY,
+            2 => f64::NAN,
+            3 => -1.0,
+            _ => 10_f64.powf(random.random_range(-9.0..9.0)),
+        };
+        let (stated, cold) = (Rate::stated(per_second), Rate::cold(per_second));
+        let rate = [stated, cold, stated.and(cold)][random.random_range(0..3)];
+        let target = &targets[random.random_range(0..targets.len())];
+        match random.random_range(0..8) {
+            0 => {
+                let known = random.random_range(0..names.len());
+                pacing.set_nodes(&names[..known], random.random_range(1..30), now);
+            }
+            1 => pacing.set_serving(random.random()),
+            2 => pacing.forget(target),
+            _ if pacing.may_send(target, rate, now) => pacing.record_sent(target, now),
+            _ => {}
+        }
+    }
+}
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -293,6 +293,25 @@
     assert_eq!(placement.limited_targets(), 0);
 }
 
+/// Guards against a panic for a target that states a limit, after nodes that shared it have been lost.
+#[test]
+fn limited_target_stays_available_after_nodes_are_lost() {
+    let mut placement = placement(AMPLE_BOUND);
+    let nodes: Vec<String> = (1..10).map(|n| format!("n{n}")).collect();
+    placement.set_nodes(&nodes, true, at(0));
+    let table = table(route(Kind::Idempotent, 2, single_target()), 1, None);
+    for n in 0..16 {
+        let report = target_report("s0", LOCAL, 1_000 + n);
+        let key = add_target(&mut placement, &format!("t{n}"), report, at(0));
+        answer_with(&mut placement, key, RateLimit::PerSecond(10.0), 0, 1);
+    }
+    pick(&mut placement, &table, at(2));
+    for millis in [1_000, 12_000] {
+        placement.set_nodes(&[], true, at(millis));
+    }
+    assert!(placement.has_available_target("s0", at(12_000), at(12_000)));
+}
+
 /// Guards against hedges that use up the few requests that a target in need takes.
 #[test]
 fn sends_no_hedge_to_a_target_that_states_a_limit() {
