Start the schedule of a limited target with the first request that asks for it

Cause: a node outside the shares of a target's limit may send one request once in an interval, which ran from the first choice of a target. The check before it refuses the request while the interval has not passed, and took the present as its start, so it never passed and the limit never ended.

Ruled out: the same loop in health, admission, budgets and warm-up; what ends each of these states stands in the design.

Change: Pacing::next_send starts the schedule, whether or not a request follows.

Measured: query_is_sent_again_after_targets_have_stated_limits (1, 20 and 270 shards) failed before and passes now.

--- a/src/process/pacing.rs
+++ b/src/process/pacing.rs
@@ -184,34 +184,29 @@
         self.is_serving = is_serving;
     }
 
-    /// Returns whether this node may send a request to the target now.
-    pub fn may_send(&mut self, target: &Arc<str>, rate: Rate, now: Moment) -> bool {
+    /// Returns when this node may send the next request to the target.
+    ///
+    /// The first call for a target starts its schedule, whether or not a request follows, so that a request that is
+    /// refused because of it is not the last one.
+    pub fn next_send(&mut self, target: &Arc<str>, rate: Rate, now: Moment) -> Moment {
         if self.schedules.len() >= TRACKED_TARGETS_MAX {
             self.schedules
                 .retain(|_, schedule| now.since(schedule.since) < SCHEDULE_LIFETIME);
         }
-        let schedule = self.schedule(target, now);
-        self.schedules.insert(Arc::clone(target), schedule);
-        self.next_send(target, rate, now) <= now
-    }
-
-    /// Returns the schedule for the target in the present order of the nodes.
-    fn schedule(&self, target: &str, now: Moment) -> Schedule {
-        match self.schedules.get(target).copied() {
+        let known = self.schedules.get(target).copied();
+        let schedule = match known {
             Some(known) if known.place_version == self.nodes_version => known,
-            // A target without a schedule has had no request since its bound became known.
-            known => Schedule {
-                since: known.map_or(now, |known| known.since),
-                has_sent: known.is_some_and(|known| known.has_sent),
-                place: self.place(target),
-                place_version: self.nodes_version,
-            },
-        }
-    }
-
-    /// Returns when this node may send the next request to the target.
-    pub fn next_send(&self, target: &str, rate: Rate, now: Moment) -> Moment {
-        let schedule = self.schedule(target, now);
+            _ => {
+                let schedule = Schedule {
+                    since: known.map_or(now, |known| known.since),
+                    has_sent: known.is_some_and(|known| known.has_sent),
+                    place: self.place(target),
+                    place_version: self.nodes_version,
+                };
+                self.schedules.insert(Arc::clone(target), schedule);
+                schedule
+            }
+        };
         match self.part(schedule.place, rate) {
             Part::Sender(_) if !schedule.has_sent => schedule.since,
             Part::Trial { first, .. } if !schedule.has_sent => schedule.since + first,
--- a/src/process/placement.rs
+++ b/src/process/placement.rs
@@ -331,7 +331,7 @@
                 continue;
             }
             let rate = bounded_rate(health, target, cold_rate, now);
-            if rate.is_some_and(|rate| !self.pacing.may_send(&target.name, rate, now)) {
+            if rate.is_some_and(|rate| self.pacing.next_send(&target.name, rate, now) > now) {
                 continue;
             }
             let class = health.class();
--- a/tests/fanout.rs
+++ b/tests/fanout.rs
@@ -592,3 +592,43 @@
         verdict => panic!("{verdict:?}"),
     }
 }
+
+/// Guards against queries that are refused for good because of limits that targets have stated: only a request can show
+/// that they have ended. The node is none of those that share the limits.
+#[rstest]
+#[case::one_shard(1)]
+#[case::usual_query(20)]
+#[case::wide_query(270)]
+fn query_is_sent_again_after_targets_have_stated_limits(#[case] shards: usize) {
+    const TRIAL_INTERVAL_MAX_MS: u64 = 18_700;
+    let mut placement = placement(AMPLE_BOUND);
+    let nodes: Vec<String> = (1..10).map(|n| format!("n{n}")).collect();
+    placement.set_nodes(&nodes, true, at(0));
+    for n in 0..shards {
+        let (name, service) = (format!("s{n}-only"), format!("s{n}"));
+        let key = add_target(
+            &mut placement,
+            &name,
+            target_report(&service, LOCAL, 1_000),
+            at(0),
+        );
+        placement.record_rate_limit(key, RateLimit::PerSecond(1.0), at(0), at(0));
+    }
+    let is_sent = (0..=TRIAL_INTERVAL_MAX_MS / 100).any(|step| {
+        let route = Arc::new(route(Kind::Idempotent, 2, gather(shards, 1.0)));
+        let now = at(step * 100);
+        let mut fanout = Fanout::new(Plan {
+            table: table((*route).clone(), shards, None),
+            services: (0..shards).map(|n| Arc::from(format!("s{n}"))).collect(),
+            sent_at: now,
+            deadline: now + ms(2_000),
+            expected_latency: EXPECTED_LATENCY,
+            hedge_delay: ms(HEDGE_DELAY_MS),
+            reply_margin: REPLY_MARGIN,
+            route,
+        });
+        let actions = fanout.step(Event::Start, now, &mut placement);
+        actions.len() == shards && actions.iter().all(|it| matches!(it, Action::Send { .. }))
+    });
+    assert!(is_sent);
+}
--- a/tests/pacing.rs
+++ b/tests/pacing.rs
@@ -39,7 +39,7 @@
     let mut now = start;
     while now < start + duration {
         for pacing in &mut *nodes {
-            if pacing.may_send(target, rate, now) {
+            if pacing.next_send(target, rate, now) <= now {
                 pacing.record_sent(target, now);
                 sent.push(now);
             }
@@ -212,7 +212,7 @@
             }
             1 => pacing.set_serving(random.random()),
             2 => pacing.forget(target),
-            _ if pacing.may_send(target, rate, now) => pacing.record_sent(target, now),
+            _ if pacing.next_send(target, rate, now) <= now => pacing.record_sent(target, now),
             _ => {}
         }
     }
