Keep the whole range of the store's eras and revisions

Cause: the adapter took 1 for the store's first era and kept 16 bits, so that a rise from 0 to 1, and each beyond 65,535, went unnoticed, and changes whose revisions were given out again were dropped.

Change: a revision has 128 bits, era and number as the store states them.

--- a/src/connection/keyspace.rs
+++ b/src/connection/keyspace.rs
@@ -10,7 +10,8 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-/// The number of times that a store has come back from an older copy, from which it has gone on.
+/// The number that a store states of the time since it last came back from an older copy. A later one is higher; which
+/// one is the first is not known.
 #[derive(
     Debug,
     Clone,
@@ -25,13 +26,12 @@
     Serialize,
     Deserialize,
 )]
-pub struct Era(pub u16);
+pub struct Era(pub u64);
 
 /// A revision of the store. It increases with each change of any key.
 ///
 /// A store that comes back from an older copy gives the numbers of lost changes out again. The upper bits of a
-/// revision therefore hold the [`Era`], so that each later change still has a higher revision. In the first era, a
-/// revision equals its number.
+/// revision therefore hold the [`Era`], so that each later change still has a higher revision.
 #[derive(
     Debug,
     Clone,
@@ -46,26 +46,26 @@
     Serialize,
     Deserialize,
 )]
-pub struct Revision(pub u64);
+#[display("{}.{}", self.era(), self.number())]
+pub struct Revision(pub u128);
 
 impl Revision {
-    /// The bits of the number that the store gives out; the remaining 16 hold the era.
-    const NUMBER_BITS: u32 = 48;
+    /// The bits of the number that the store gives out; the upper ones hold the era.
+    const NUMBER_BITS: u32 = u64::BITS;
 
     /// Returns the revision to which the store has given a number in an era.
     pub const fn in_era(era: Era, number: u64) -> Self {
-        let number = number & ((1 << Self::NUMBER_BITS) - 1);
-        Self((era.0 as u64) << Self::NUMBER_BITS | number)
+        Self((era.0 as u128) << Self::NUMBER_BITS | number as u128)
     }
 
     /// Returns the era in which the store has given out the revision.
     pub const fn era(self) -> Era {
-        Era((self.0 >> Self::NUMBER_BITS) as u16)
+        Era((self.0 >> Self::NUMBER_BITS) as u64)
     }
 
     /// Returns the number by which the store knows the revision.
     pub const fn number(self) -> u64 {
-        self.0 & ((1 << Self::NUMBER_BITS) - 1)
+        self.0 as u64
     }
 }
 
--- a/src/connection/mirror.rs
+++ b/src/connection/mirror.rs
@@ -50,7 +50,7 @@
     let stream = connect(from).await?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     let _connection = AbortOnDropHandle::new(tokio::spawn(connection));
-    let after: Vec<String> = after.iter().map(Revision::to_string).collect();
+    let after: Vec<String> = after.iter().map(|it| it.0.to_string()).collect();
     let request = Request::get(format!("{PATH}?after={}", after.join(",")))
         .header("host", from.to_string())
         .body(Empty::<Bytes>::new())?;
--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -285,7 +285,7 @@
                 if outdated > 0 {
                     self.shared.meters.outdated_changes.inc_by(outdated as u64);
                     log::warn!(
-                        outdated, revision = revision.0;
+                        outdated, revision:% = revision;
                         "changes ignored; newer ones of their keys are known"
                     );
                 }
@@ -353,7 +353,7 @@
         };
         if export.revision().era() < mirror.revision().era() {
             log::info!(
-                prefix, revision = export.revision().0;
+                prefix, revision:% = export.revision();
                 "contents of an earlier era of the store ignored"
             );
             return;
--- a/src/process/follow.rs
+++ b/src/process/follow.rs
@@ -7,8 +7,8 @@
 //! from the last revision if its connection breaks or falls silent, or if other nodes have changes that it has not
 //! delivered. While the store is unavailable, only the lease task calls it, because each call is paid for.
 
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU16, AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use rand::Rng;
@@ -124,7 +124,7 @@
     available: AtomicBool,
     consecutive_failures: AtomicU32,
     /// The [`Era`] of the store in which its answers were last notified.
-    era: AtomicU16,
+    era: AtomicU64,
     /// Whether the store has answered since this node has started.
     has_answered: AtomicBool,
     stopping: AtomicBool,
@@ -137,7 +137,7 @@
     /// Whether this node watches the store. It does not before the first election of nodes.
     watching: AtomicBool,
     /// Every change up to this revision is in the mirrors; other nodes may have delivered it.
-    known_revision: AtomicU64,
+    known_revision: Mutex<Revision>,
     /// Wakes tasks that wait for the store, and watches that must be restarted.
     state_changed: Notify,
     /// Wakes the lease task.
@@ -166,14 +166,14 @@
             record_key: record.0.clone(),
             available: AtomicBool::new(true),
             consecutive_failures: AtomicU32::new(0),
-            era: AtomicU16::new(0),
+            era: AtomicU64::new(0),
             has_answered: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             serving: AtomicBool::new(true),
             listing: AtomicBool::new(false),
             updates_from_store: AtomicBool::new(false),
             watching: AtomicBool::new(false),
-            known_revision: AtomicU64::new(0),
+            known_revision: Mutex::default(),
             state_changed: Notify::new(),
             renewal_requested: Notify::new(),
         });
@@ -227,10 +227,7 @@
 
     /// Starts watching the store after a revision, or stops it so that other nodes deliver the changes.
     pub fn set_watching(&self, from: Option<Revision>) {
-        let Revision(known) = from.unwrap_or_default();
-        self.shared
-            .known_revision
-            .fetch_max(known, Ordering::AcqRel);
+        self.shared.raise_known_revision(from.unwrap_or_default());
         let before = self.shared.watching.swap(from.is_some(), Ordering::AcqRel);
         if before != from.is_some() {
             self.shared.state_changed.notify_waiters();
@@ -310,9 +307,14 @@
         Era(self.era.load(Ordering::Acquire))
     }
 
-    /// Returns the revision up to which the mirrors have every change.
-    fn known_revision(&self) -> Revision {
-        Revision(self.known_revision.load(Ordering::Acquire))
+    /// Records that the mirrors have every change up to a revision, and returns the highest one recorded.
+    fn raise_known_revision(&self, revision: Revision) -> Revision {
+        let mut known = self
+            .known_revision
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        *known = known.max(revision);
+        *known
     }
 }
 
@@ -431,7 +433,7 @@
             // A call that does not wait is made even if another node watches the store. Before a call that
             // waits, this node itself waits until it should watch.
             if wait > Duration::ZERO && wait_until(&shared, Shared::is_watching).await {
-                after = after.max(shared.known_revision());
+                after = shared.raise_known_revision(after);
                 // A call that does not wait returns at once, and so soon confirms that this node has every
                 // change.
                 wait = Duration::ZERO;
@@ -535,7 +537,7 @@
                 shared.record_success(revision.era(), notify);
                 sleep(DELIVERY_TIME_MAX).await;
                 log::info!(
-                    prefix, delivered = delivered.0, revision = revision.0;
+                    prefix, delivered:% = delivered, revision:% = revision;
                     "watch has not delivered a change; it is started again"
                 );
                 return;
@@ -602,7 +604,7 @@
         items.extend(page.items);
         if !page.more || is_empty_page {
             log::info!(
-                prefix, items = items.len(), revision = revision.0, newest_page = highest.0;
+                prefix, items = items.len(), revision:% = revision, newest_page:% = highest;
                 "store listed"
             );
             return Ok((items, revision));
--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -66,6 +66,8 @@
 
 #[derive(Debug, Clone, Default)]
 struct Data {
+    /// The number of the first era.
+    first_era: u64,
     /// How often the store has come back from an older copy.
     restores: u64,
     revision: u64,
@@ -145,6 +147,11 @@
         })
     }
 
+    /// Sets the number that the store has stated as its era before it first came back from an older copy; 0 by default.
+    pub fn set_first_era(&self, first_era: u64) {
+        self.shared.update(|data| data.first_era = first_era);
+    }
+
     /// Adds a listener with its own fault, for example to refuse the calls of one node only.
     pub async fn add_listener(&self) -> anyhow::Result<Listener> {
         self.shared.listen(&self.tasks).await
@@ -383,8 +390,9 @@
         }
         let mut reply = self.answer(request).await;
         if let Ok(response) = &mut reply {
-            // The first era has the number 1.
-            let era = HeaderValue::from(self.shared.data().restores + 1);
+            let data = self.shared.data();
+            let era = HeaderValue::from(data.first_era + data.restores);
+            drop(data);
             response.headers_mut().insert("store-era", era);
         }
         if fault == Fault::DropAnswer {
--- a/tests/follow.rs
+++ b/tests/follow.rs
@@ -44,7 +44,7 @@
 
 impl State {
     fn revision(&self) -> Revision {
-        Revision(self.events.len() as u64)
+        Revision(self.events.len() as u128)
     }
 
     /// Returns the contents at a revision.
@@ -135,7 +135,7 @@
         let end = Instant::now() + wait;
         let silences = self.state().silences;
         let mut changed = self.changed.subscribe();
-        let has_later = |count: &usize| *count as u64 > after.0;
+        let has_later = |count: &usize| *count as u128 > after.0;
         let _ = timeout_at(end, changed.wait_for(has_later)).await;
         if self.state().silences > silences {
             std::future::pending::<()>().await;
--- a/tests/mirror.rs
+++ b/tests/mirror.rs
@@ -9,7 +9,7 @@
     Item {
         key: key.to_owned(),
         value: Bytes::from_static(value.as_bytes()),
-        revision: Revision(revision),
+        revision: Revision(revision.into()),
     }
 }
 
@@ -24,7 +24,7 @@
 fn removal_event(key: &str, revision: u64) -> Event {
     Event::Removed {
         key: key.to_owned(),
-        revision: Revision(revision),
+        revision: Revision(revision.into()),
     }
 }
 
