Send no new work to a target that states in an answer that it leaves

Cause: nothing read the header by which a target that leaves says so; only its entry in the store counted, which a node may read late or not at all.

Change: an answer that is certainly the target's own marks this run of the target in the registry. The mark ends with the run; no entry of the same run ends it.

--- a/src/connection/outbound.rs
+++ b/src/connection/outbound.rs
@@ -103,6 +103,8 @@
     pub keep_alive: Option<Duration>,
     /// The limit on its requests that the target states.
     pub rate_limit: RateLimit,
+    /// Whether the target states that it is leaving.
+    pub leaving: bool,
 }
 
 /// The limit on the rate of requests that an answer states, which holds for all nodes together.
@@ -342,6 +344,7 @@
             cold_for: None,
             keep_alive: None,
             rate_limit: RateLimit::Unknown,
+            leaving: false,
         }
     }
 }
--- a/src/process/entry/serve.rs
+++ b/src/process/entry/serve.rs
@@ -272,6 +272,12 @@
             shared.placement().registry.set_cold(self.target, cold, now);
         }
         self.record_rate_limit(&endpoint, result.rate_limit, start, now);
+        if result.leaving && shared.placement().registry.mark_leaving(self.target) {
+            log::info!(
+                target_name:% = endpoint.name, service:% = self.service;
+                "target states that it is leaving; it gets no new work"
+            );
+        }
         if matches!(result.outcome, Outcome::Succeeded(_)) {
             shared.record_latency(&self.route, took, now);
         }
--- a/src/process/registry.rs
+++ b/src/process/registry.rs
@@ -38,6 +38,8 @@
     missing_since: Option<Moment>,
     /// Whether another target answered at this target's address; it then gets no work until it starts again.
     misdirected: bool,
+    /// Whether the target has stated in an answer that it is leaving; it then gets no work until it starts again.
+    leaving: bool,
 }
 
 /// All known targets, with the data centres that are evacuated and the state of the store.
@@ -99,6 +101,7 @@
             cold_until: now + report.cold,
             missing_since: None,
             misdirected: false,
+            leaving: false,
             report,
         };
         let service = Arc::clone(&target.report.service);
@@ -156,6 +159,13 @@
         Some(Effect::Changed(key))
     }
 
+    /// Records that the target has stated in an answer that it is leaving. Its entry in the store may still say that it is
+    /// ready. Returns whether this was not known.
+    pub fn mark_leaving(&mut self, key: TargetKey) -> bool {
+        let target = self.targets.get_mut(key);
+        target.is_some_and(|target| !std::mem::replace(&mut target.leaving, true))
+    }
+
     /// Sets how long the target stays cold from now on, as the target itself reports.
     pub fn set_cold(&mut self, key: TargetKey, cold: Duration, now: Moment) {
         if let Some(target) = self.targets.get_mut(key) {
@@ -207,7 +217,7 @@
         self.targets.iter()
     }
 
-    /// Returns the targets of a service that take new work: ready, not misdirected and not evacuated.
+    /// Returns the targets of a service that take new work: ready, not leaving, not misdirected and not evacuated.
     pub fn usable(&self, service: &str) -> impl Iterator<Item = (TargetKey, &Target)> {
         let keys = self.keys_by_service.get(service).into_iter().flatten();
         keys.map(|&key| (key, &self.targets[key]))
@@ -217,6 +227,7 @@
     fn takes_work(&self, target: &Target) -> bool {
         target.report.state == TargetState::Ready
             && !target.misdirected
+            && !target.leaving
             && !self
                 .evacuated_data_centres
                 .contains(&target.report.data_centre)
--- a/standins/src/platform/target.rs
+++ b/standins/src/platform/target.rs
@@ -1,7 +1,7 @@
 //! A stand-in for the platform's targets that can answer late, twice, incompletely or not at all.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -159,6 +159,7 @@
     service_time: Mutex<Duration>,
     /// The requests per second that the target's answers name as its limit, if any.
     rate_limit: Mutex<Option<f64>>,
+    leaving: AtomicBool,
     journal: Mutex<Vec<Arrival>>,
     open_connections: AtomicUsize,
     /// The number of requests whose connection the sender closed while they ran.
@@ -184,6 +185,7 @@
             behaviour: Mutex::default(),
             service_time: Mutex::new(spec.service_time),
             rate_limit: Mutex::default(),
+            leaving: AtomicBool::new(false),
             journal: Mutex::default(),
             open_connections: AtomicUsize::new(0),
             abandoned_requests: AtomicUsize::new(0),
@@ -246,6 +248,11 @@
         *lock(&self.shared.rate_limit) = per_second;
     }
 
+    /// Sets whether further answers state that the target is leaving. The target itself runs any number of requests.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.shared.leaving.store(leaving, Ordering::SeqCst);
+    }
+
     /// Returns all requests that the target received, in order of arrival.
     pub fn journal(&self) -> Vec<Arrival> {
         lock(&self.shared.journal).clone()
@@ -346,7 +353,9 @@
         let echo = format!("X-Request-Id: {id}\r\n");
         let rate_limit = *lock(&shared.rate_limit);
         let limit = rate_limit.map(|limit| format!("Server-Limit: {limit}\r\n"));
-        let headers = format!("{signature}{echo}{}", limit.unwrap_or_default());
+        let leaving = shared.leaving.load(Ordering::SeqCst);
+        let leaving = if leaving { "Server-Leaving: 1\r\n" } else { "" };
+        let headers = format!("{signature}{echo}{}{leaving}", limit.unwrap_or_default());
         match behaviour {
             Behaviour::Answer | Behaviour::Refuse => {
                 respond(&mut stream, "200 OK", &headers, body).await?;
