Let reports of several parts follow a heartbeat in its datagram

Quotas, roll-outs and target loads need facts of other nodes several times a second. Further datagrams would cost as much as the heartbeats, and a longer heartbeat could not be read by nodes of the version before, which would count its sender as dead.

Reports are therefore a second MessagePack value behind the heartbeat: the version before reads the first value and ignores what follows, and a node that does not know a list ignores it. Without reports the datagram is unchanged, byte for byte.

--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -14,7 +14,7 @@
 use crate::connection::mirror::{self, Update};
 use crate::connection::outbound::Protocol;
 use crate::process::follow::{Follower, Notification};
-use crate::process::heartbeat::Socket;
+use crate::process::heartbeat::{Reports, Socket};
 use crate::process::mirror::{Change, Export, Mirror};
 use crate::process::reconciliation::Reconciliation;
 use crate::process::registry::Effect;
@@ -52,8 +52,8 @@
 pub enum Message {
     /// A change or the availability of the store, from the follower.
     Store(Notification),
-    /// A heartbeat of another node.
-    Heartbeat(Heartbeat),
+    /// A heartbeat of another node, and what the node reports beside it.
+    Heartbeat(Heartbeat, Reports),
     /// The changes fetched from another node; `None` if the fetch failed.
     PeerUpdate {
         /// When the changes were requested.
@@ -169,9 +169,9 @@
         } = args;
         let node = &shared.config.node;
         let actor = myself.clone();
-        let socket = Socket::bind(node.heartbeat, move |heartbeat| {
+        let socket = Socket::bind(node.heartbeat, move |heartbeat, reports| {
             // The actor runs as long as the process.
-            let _running = actor.cast(Message::Heartbeat(heartbeat));
+            let _running = actor.cast(Message::Heartbeat(heartbeat, reports));
         })
         .await?;
         let actor = myself.clone();
@@ -216,7 +216,7 @@
                 return Err("a task that follows the store has panicked".into());
             }
             Message::Store(notification) => state.handle_notification(notification, &myself),
-            Message::Heartbeat(heartbeat) => state.handle_heartbeat(heartbeat, &myself),
+            Message::Heartbeat(heartbeat, _reports) => state.handle_heartbeat(heartbeat, &myself),
             Message::PeerUpdate {
                 requested_at,
                 update,
@@ -624,8 +624,9 @@
                     && *seed != own
                     && !roster.knows_address(*seed)
             });
+        let reports = Reports::default();
         self.socket
-            .send(&heartbeat, known.iter().copied().chain(seeds));
+            .send(&heartbeat, &reports, known.iter().copied().chain(seeds));
     }
 
     /// Runs the periodic work: election, heartbeats, expiry, probes and gauges.
--- a/src/process/heartbeat.rs
+++ b/src/process/heartbeat.rs
@@ -3,13 +3,55 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use tokio_util::task::AbortOnDropHandle;
 
 use super::roster::Heartbeat;
+use crate::quota::Demand;
 
-/// Maximum datagram that is read. A heartbeat takes about 200 bytes.
-const DATAGRAM_MAX_BYTES: usize = 1_200;
+/// Maximum size of a datagram. A heartbeat without reports takes about 200 bytes.
+pub const DATAGRAM_MAX_BYTES: usize = 1_200;
+
+/// What a node tells the others beside its own state, one list for each part of the program that shares something.
+///
+/// Reports follow the heartbeat in the same datagram, as a map with one entry for each list. A node of a version that
+/// does not know reports reads the heartbeat alone, and a node that does not know a list ignores its entry.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Reports {
+    /// The demand of tenants that have a quota.
+    #[serde(rename = "q", default, skip_serializing_if = "Vec::is_empty")]
+    pub demands: Vec<Demand>,
+}
+
+impl Reports {
+    /// Tells whether there is nothing to report, in which case nothing follows the heartbeat.
+    pub const fn is_empty(&self) -> bool {
+        self.demands.is_empty()
+    }
+}
+
+/// Encodes a heartbeat with the reports that follow it. Reports that do not fit are left out.
+pub fn encode(heartbeat: &Heartbeat, reports: &Reports) -> Vec<u8> {
+    let mut bytes =
+        rmp_serde::to_vec(heartbeat).expect("a heartbeat holds only types that can be encoded");
+    if !reports.is_empty() {
+        let lists =
+            rmp_serde::to_vec_named(reports).expect("reports hold only types that can be encoded");
+        if bytes.len() + lists.len() <= DATAGRAM_MAX_BYTES {
+            bytes.extend(lists);
+        }
+    }
+    bytes
+}
+
+/// Decodes a heartbeat and the reports that follow it. Reports that cannot be read count as none.
+pub fn decode(bytes: &[u8]) -> Option<(Heartbeat, Reports)> {
+    let mut rest = bytes;
+    let heartbeat = Heartbeat::deserialize(&mut rmp_serde::Deserializer::new(&mut rest)).ok()?;
+    let reports = rmp_serde::from_slice(rest).unwrap_or_default();
+    Some((heartbeat, reports))
+}
 
 /// A UDP socket for heartbeats. Dropping it ends the receiving task.
 #[derive(Debug)]
@@ -19,10 +61,11 @@
 }
 
 impl Socket {
-    /// Binds the address and passes each received heartbeat to `on_heartbeat`. Other datagrams are ignored.
+    /// Binds the address and passes each received heartbeat with its reports to `on_heartbeat`. Other datagrams are
+    /// ignored.
     pub async fn bind<F>(address: SocketAddr, on_heartbeat: F) -> std::io::Result<Self>
     where
-        F: Fn(Heartbeat) + Send + 'static,
+        F: Fn(Heartbeat, Reports) + Send + 'static,
     {
         let socket = Arc::new(UdpSocket::bind(address).await?);
         let receiver = Arc::clone(&socket);
@@ -34,8 +77,8 @@
                     tokio::task::yield_now().await;
                     continue;
                 };
-                if let Ok(heartbeat) = rmp_serde::from_slice(&buffer[..length]) {
-                    on_heartbeat(heartbeat);
+                if let Some((heartbeat, reports)) = decode(&buffer[..length]) {
+                    on_heartbeat(heartbeat, reports);
                 }
             }
         });
@@ -45,11 +88,15 @@
         })
     }
 
-    /// Sends a heartbeat to each address. If the send buffer is full, it is dropped, because the next one
-    /// contains the same state.
-    pub fn send(&self, heartbeat: &Heartbeat, to: impl Iterator<Item = SocketAddr>) {
-        let bytes =
-            rmp_serde::to_vec(heartbeat).expect("a heartbeat holds only types that can be encoded");
+    /// Sends a heartbeat and its reports to each address. If the send buffer is full, the datagram is dropped,
+    /// because the next one contains the same state.
+    pub fn send(
+        &self,
+        heartbeat: &Heartbeat,
+        reports: &Reports,
+        to: impl Iterator<Item = SocketAddr>,
+    ) {
+        let bytes = encode(heartbeat, reports);
         for address in to {
             let _ = self.socket.try_send_to(&bytes, address);
         }
