--- a/tests/heartbeat.rs
+++ b/tests/heartbeat.rs
@@ -34,7 +34,7 @@
     assert_eq!(decode(&alone), Some((heartbeat(), Reports::default())));
 
     let unknown_list = rmp_serde::to_vec(&std::collections::BTreeMap::from([("later", [1, 2])]));
-    let followed = [&alone[..], &unknown_list.expect("a map encodes")].concat();
+    let followed = [&*alone, &unknown_list.expect("a map encodes")].concat();
     let read_by_older_version: Heartbeat =
         rmp_serde::from_slice(&followed).expect("what follows a heartbeat is ignored");
     assert_eq!(read_by_older_version, heartbeat());
@@ -45,7 +45,7 @@
 #[test]
 fn heartbeat_counts_although_its_reports_are_broken() {
     let alone = rmp_serde::to_vec(&heartbeat()).expect("a heartbeat encodes");
-    let broken = [&alone[..], &[0xc1, 0xff]].concat();
+    let broken = [&*alone, &[0xc1, 0xff]].concat();
     assert_eq!(decode(&broken), Some((heartbeat(), Reports::default())));
     assert_eq!(decode(&alone[..alone.len() - 1]), None);
 }
