Add tests of answers whose status is not a final status of HTTP

On another system of this kind, a target in trouble sent an answer with status 000 and the caller got it. The tests let a stand-in send 000, other statuses outside 200 to 599, a missing one and interim ones.

--- a/standins/src/platform/target.rs
+++ b/standins/src/platform/target.rs
@@ -38,6 +38,8 @@
     OmitSignature,
     /// The target runs the request and answers with status 503, which means a refusal.
     FalseRefusal,
+    /// The target runs the request and answers with this text in place of the status code and its reason.
+    Status(&'static str),
     /// The target runs the request and never answers.
     NeverAnswer,
     /// Before the answer to a request, the target sends a second copy of its previous answer on the
@@ -372,6 +374,7 @@
             Behaviour::FalseRefusal => {
                 respond(&mut stream, "503 Service Unavailable", &headers, b"").await?;
             }
+            Behaviour::Status(status) => respond(&mut stream, status, &headers, body).await?,
             Behaviour::OmitSignature => respond(&mut stream, "200 OK", &echo, body).await?,
             Behaviour::DropAnswer => return Ok(()),
             Behaviour::RepeatPrevious(repeat) => {
