Treat an answer whose status is not from 200 to 599 as lost

Cause: the HTTP library rejects 000, but reads statuses up to 999 and takes 101 as a final answer. Such an answer counted as a failure of the target and was passed on unchanged.

The log names the cause bad_status.

--- a/src/request/reply.rs
+++ b/src/request/reply.rs
@@ -64,6 +64,9 @@
     /// before, has no signature or has an encoded body.
     #[display("foreign")]
     Unverified,
+    /// The status of the answer is not one that ends a request, that is, not from 200 to 599.
+    #[display("bad_status")]
+    InvalidStatus,
     /// No answer arrived before the deadline.
     #[display("timeout")]
     Timeout,
