Tell by a key whose a request is, and tell targets the tenant

The settings document may name tenants with keys. A request then needs a key of one tenant, unless its route is anonymous; otherwise it gets 401, or 503 on a node whose settings are not confirmed. Targets get the tenant's name, and neither the key nor what the caller claims, also on hedges, retries and in queries over all shards. Without tenants in the document, both headers pass as before and nothing needs a key.

A key that two tenants hold identifies neither, and one warning for each version names the tenants.

--- a/src/connection/outbound.rs
+++ b/src/connection/outbound.rs
@@ -35,6 +35,7 @@
 use super::target::{ANSWER_MAX_BYTES, POLL_ROUNDS};
 use crate::process::registry::TargetKey;
 use crate::request::reply::{FailureCause, Outcome};
+use crate::tenancy::Sender;
 use crate::time::{Clock, Moment};
 
 /// Time limit for opening a connection. Targets are a few milliseconds away. A lost packet of the
@@ -74,6 +75,8 @@
     pub path: PathAndQuery,
     /// The caller's headers, without the hop-by-hop headers of its connection.
     pub headers: HeaderMap,
+    /// Who sent the request, which decides what targets are told of it.
+    pub sender: Sender,
     /// The complete body.
     pub body: Bytes,
 }
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -34,6 +34,7 @@
 use crate::connection::outbound::{Call, Pool, Protocol};
 use crate::request::admission::Admission;
 use crate::request::latency::LatencyEstimator;
+use crate::tenancy::Credential;
 use crate::time::{Clock, Moment};
 use crate::version::item::{Codec, Node};
 use crate::version::route::{Destination, Kind, Limits, Route, Table};
@@ -83,6 +84,8 @@
     pub host: String,
     /// The part of the request that is sent to targets.
     pub call: Call,
+    /// The key in the request; absent if it has none, or several.
+    pub credential: Option<Credential>,
     /// How long the caller waits for the answer, counted from `sent_at`. If absent, the timeout of the
     /// route applies.
     pub caller_timeout: Option<Duration>,
--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -19,8 +19,10 @@
 use crate::process::reconciliation::Reconciliation;
 use crate::process::registry::Effect;
 use crate::process::roster::{HEARTBEAT_INTERVAL, Heartbeat, copy_delay};
+use crate::tenancy::Directory;
 use crate::time::Moment;
 use crate::version::item::{Codec, Item, ItemKind, Node};
+use crate::version::route::Table;
 
 /// How long the last answer of the store that shows its revision, or the last heartbeat of a peer with the same state,
 /// proves that no newer route table exists. A change must be in force within three seconds.
@@ -450,6 +452,7 @@
                 log::info!(version = table.version.0, previous; "settings in force");
                 let version = i64::try_from(table.version.0).unwrap_or(i64::MAX);
                 self.shared.meters.settings_version.set(version);
+                warn_of_contested_keys(&table);
                 self.shared.route_table.store(Some(Arc::new(table)));
             }
             (ItemKind::Evacuation(data_centre), Item::Evacuation) => {
@@ -861,3 +864,19 @@
             .fetch_max(until.as_micros(), atomic::Ordering::AcqRel);
     }
 }
+
+/// Warns of keys that several tenants hold, once for each version of the settings.
+fn warn_of_contested_keys(table: &Table) {
+    /// Maximum number of tenants that the line names, so that it stays short if all share a key.
+    const TENANTS_LOGGED_MAX: usize = 10;
+    let contested = table.tenants().map(Directory::contested);
+    let Some(names) = contested.filter(|names| names.len() > 0) else {
+        return;
+    };
+    let count = names.len();
+    let names: Vec<&str> = names.take(TENANTS_LOGGED_MAX).map(|name| &**name).collect();
+    log::warn!(
+        version = table.version.0, tenants = names.join(","), count;
+        "several tenants hold the same key; it identifies none of them"
+    );
+}
--- a/src/process/entry/report.rs
+++ b/src/process/entry/report.rs
@@ -10,6 +10,7 @@
 use super::{IncomingRequest, Shared};
 use crate::request::fanout::{ExtraSubrequests, Fanout};
 use crate::request::reply::Verdict;
+use crate::tenancy::Tenant;
 use crate::time::Moment;
 use crate::version::route::Route;
 
@@ -26,6 +27,8 @@
     /// The settings version under which the request runs; zero before one is chosen.
     pub(super) version: u64,
     pub(super) route: Option<Arc<Route>>,
+    /// The tenant whose key the request has.
+    pub(super) tenant: Option<Arc<Tenant>>,
     /// The number of shards that have answered.
     answered: usize,
     /// The number of shards that were asked.
@@ -57,6 +60,7 @@
             sampled: xxh3_64(id.as_bytes()).is_multiple_of(Self::SAMPLE_ONE_IN),
             version: 0,
             route: None,
+            tenant: None,
             answered: 0,
             shards: 0,
             subrequests: 0,
@@ -130,6 +134,7 @@
             waited_ms = millis_rounded(self.read_at.since(self.sent_at)),
             objective_ms = route.map(|route| millis_rounded(route.latency_objective)),
             route = route.map_or("", |route| &*route.name), version = self.version,
+            tenant = self.tenant.as_ref().map(|tenant| &*tenant.name),
             answered = self.answered, shards = self.shards,
             missing = self.missing_services.join(","), causes = self.missing_causes,
             legs = self.subrequests, hedges = self.extra.hedges, retries = self.extra.retries,
--- a/src/process/entry/serve.rs
+++ b/src/process/entry/serve.rs
@@ -57,7 +57,7 @@
     }
 
     /// Refuses the request if it cannot be served in time; otherwise runs it.
-    async fn admit_and_run(&self, request: IncomingRequest, report: &mut Report<P>) -> Verdict {
+    async fn admit_and_run(&self, mut request: IncomingRequest, report: &mut Report<P>) -> Verdict {
         let shared = &self.shared;
         let now = shared.clock.now();
         let refused = |reason| Verdict::Refused {
@@ -83,6 +83,15 @@
         let route = Arc::clone(route);
         report.version = table.version.0;
         report.route = Some(Arc::clone(&route));
+        let Some(sender) = table.identify(&route, request.credential.as_ref()) else {
+            return if shared.is_uncertain(now) {
+                refused(Reason::UncertainKey)
+            } else {
+                Verdict::Invalid(Invalid::UnknownKey)
+            };
+        };
+        report.tenant = sender.tenant().cloned();
+        request.call.sender = sender;
         let timeout = request.caller_timeout.map_or(route.timeout, |timeout| {
             timeout.saturating_sub(REPLY_TRANSIT_TIME)
         });
--- a/src/request/reply.rs
+++ b/src/request/reply.rs
@@ -107,6 +107,9 @@
     /// No route matches, but the node has had no contact with the store recently and may lack a new one.
     #[display("uncertain_route")]
     UncertainRoute,
+    /// No tenant holds the key, but the node has had no contact with the store recently and may lack a new one.
+    #[display("uncertain_key")]
+    UncertainKey,
     /// A service has no target that takes work.
     #[display("no_target")]
     NoTarget,
@@ -142,6 +145,9 @@
     /// No route matches the host and path.
     #[display("no_route")]
     NoRoute,
+    /// The route needs a key, and the request has none that identifies a tenant.
+    #[display("unknown_key")]
+    UnknownKey,
     /// A required header is missing, or a header is malformed.
     #[display("bad_request")]
     BadRequest,
--- a/src/version/route.rs
+++ b/src/version/route.rs
@@ -10,6 +10,8 @@
 
 use derive_more::Display;
 
+use crate::tenancy::{Credential, Directory, Sender};
+
 /// The version of a route table; a node never goes back to a lower one.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
 pub struct TableVersion(pub u64);
@@ -24,6 +26,8 @@
     /// The routes by host, those with the longest prefix first.
     hosts: HashMap<String, Vec<Arc<Route>>>,
     services: HashMap<Arc<str>, Service>,
+    /// The tenants and their keys; absent if the document declares none, so that no request needs a key.
+    tenants: Option<Directory>,
 }
 
 /// The limits on the size of requests of callers and on the time that they take to arrive.
@@ -81,6 +85,8 @@
     pub latency_objective: Duration,
     /// The priority; lower numbers are more urgent.
     pub priority: u8,
+    /// Whether requests need no key, if the table has tenants.
+    pub anonymous: bool,
     /// The targets to which requests are sent.
     pub destination: Destination,
 }
@@ -150,6 +156,33 @@
             limits,
             hosts,
             services: services.into_iter().collect(),
+            tenants: None,
+        }
+    }
+
+    /// Returns the table with tenants, so that requests need a key of one of them unless their route is anonymous.
+    pub fn with_tenants(self, tenants: Directory) -> Self {
+        Self {
+            tenants: Some(tenants),
+            ..self
+        }
+    }
+
+    /// Returns the tenants and their keys, or `None` if the document declares none.
+    pub const fn tenants(&self) -> Option<&Directory> {
+        self.tenants.as_ref()
+    }
+
+    /// Returns who sent a request on a route, or `None` if the route needs a key and the request has none that
+    /// identifies a tenant.
+    pub fn identify(&self, route: &Route, credential: Option<&Credential>) -> Option<Sender> {
+        let Some(tenants) = &self.tenants else {
+            return Some(Sender::Undeclared);
+        };
+        let key = credential.and_then(|credential| tenants.find(credential));
+        match key.and_then(|key| tenants.get(key)) {
+            Some(tenant) => Some(Sender::Tenant(Arc::clone(tenant))),
+            None => route.anonymous.then_some(Sender::Anonymous),
         }
     }
 
--- a/standins/src/platform/target.rs
+++ b/standins/src/platform/target.rs
@@ -130,6 +130,8 @@
     pub id: String,
     /// The request line without the protocol version.
     pub line: String,
+    /// The headers, with their names in lower case.
+    pub headers: Vec<(String, String)>,
     /// The complete body of the request.
     pub body: Vec<u8>,
     /// The time that the sender allowed for the request, in milliseconds.
@@ -323,6 +325,7 @@
         lock(&shared.journal).push(Arrival {
             id: id.clone(),
             line: request.line.clone(),
+            headers: request.headers.clone(),
             body: request.body.clone(),
             deadline_ms: header("x-deadline-ms").and_then(|it| it.parse().ok()),
             ran: !foreign && behaviour != Behaviour::Refuse,
--- a/tests/entry_support/mod.rs
+++ b/tests/entry_support/mod.rs
@@ -69,6 +69,7 @@
         timeout: ms(2_000),
         latency_objective: ms(150),
         priority: 1,
+        anonymous: false,
         destination,
     }
 }
