Move request::admission to overload::admission

The decisions under load get a module of their own, and admission control is the first of them. No change of behaviour: the file moves unchanged, and the imports and pages follow.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod client;
 pub mod command;
 pub mod connection;
+pub mod overload;
 pub mod process;
 pub mod quota;
 pub mod request;
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -32,7 +32,7 @@
 use crate::connection::keyspace::{Keyspace, Revision};
 use crate::connection::mirror::Update;
 use crate::connection::outbound::{Call, Pool, Protocol};
-use crate::request::admission::Admission;
+use crate::overload::admission::Admission;
 use crate::request::latency::LatencyEstimator;
 use crate::tenancy::Credential;
 use crate::time::{Clock, Moment};
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -1,9 +1,8 @@
-//! The processing of one request, from its admission to its answer.
+//! The processing of one request, from its arrival to its answer.
 //!
 //! The modules are pure state machines: they use no clock, socket, sleep or global random number
 //! generator. See `docs/design.md`, section 6.
 
-pub mod admission;
 pub mod answer;
 pub mod fanout;
 pub mod hedge;
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -6,7 +6,7 @@
 
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
-use redwinggrade::request::admission::Admission;
+use redwinggrade::overload::admission::Admission;
 use redwinggrade::time::Moment;
 use rstest::rstest;
 
