Bound the memory that callers make a node hold

Cause: only the size of a single body and the number of connections were bounded. Each received chunk kept the connection's read buffer alive, and blocks between others did not go back to the system. Change: one budget, three eighths of `memory_mb` (settings file; 256 if absent), counts connections, bodies of requests while they are received and for as long as a subrequest or answer holds them, bodies of answers of targets and merged answers. Bodies are copied into one buffer each, above 16 KiB into a memory map of its own (crate memmap2: the workspace forbids unsafe code, and the map goes back to the system at once, whatever the C library does). What finds no room is refused with 503 and Retry-After before anything is sent to a target; a body that has made no step of 16 KiB for at least 250 ms and longer than any other gives way first. A quarter is kept for connections and small bodies. The numbers of connections follow the memory, and `max_fds` if it is given; a new connection takes the place of the oldest one that has had no request, or that has none. A caller that reads nothing of its answer for the idle time-out is closed.

--- a/review/standins/node.rs
+++ b/review/standins/node.rs
@@ -116,6 +116,7 @@
             ("bounds.ttl_max_s", "5".to_owned()),
             ("limits.cpu_share", "0.25".to_owned()),
             ("limits.cpu_cores", "1".to_owned()),
+            ("limits.memory_mb", "256".to_owned()),
             ("bounds.retry_budget_ratio", "0.2".to_owned()),
             ("bounds.retry_budget_slack", "58".to_owned()),
         ];
--- a/src/connection/caller.rs
+++ b/src/connection/caller.rs
@@ -13,6 +13,7 @@
 use hyper::{HeaderMap, Method, Request, Response};
 use tokio::net::TcpListener;
 
+use super::memory::Budget;
 use super::server::{HEAD_MAX_BYTES, Limits, Server};
 use crate::request::answer::Refusal;
 use crate::request::query_request::QueryRequest;
@@ -56,6 +57,7 @@
     Server::spawn(
         listener,
         || SERVER_LIMITS,
+        Budget::unlimited(),
         move |request| {
             let handler = Arc::clone(&handler);
             async move { serve(request, &*handler).await }
--- a/src/connection/head.rs
+++ b/src/connection/head.rs
@@ -3,16 +3,18 @@
 //! The HTTP library has one time limit for both. A caller that sends an incomplete head must not keep its
 //! connection open for as long as one that is idle between requests.
 
+use std::convert::Infallible;
 use std::future::poll_fn;
 use std::io;
 use std::pin::{Pin, pin};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::oneshot;
 use tokio::time::{Instant, Sleep, sleep_until};
 
 /// The bits of [`Progress`] that hold the state of the connection. The other bits count its heads.
@@ -37,7 +39,25 @@
 
 /// The progress of a connection with its current request. Clones share it.
 #[derive(Debug, Clone, Default)]
-pub struct Progress(Arc<AtomicU64>);
+pub struct Progress(Arc<AtomicU64>, Arc<WriteProgress>);
+
+/// The progress of a connection with its answers.
+#[derive(Debug, Default)]
+struct WriteProgress {
+    /// The number of writes that the system has accepted.
+    written: AtomicU64,
+    /// Whether the system accepts no more until the caller reads.
+    blocked: AtomicBool,
+}
+
+/// The time limits within which a connection must make progress.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Timeouts {
+    /// Time limit from the first to the last byte of the head of a request.
+    pub head: Duration,
+    /// How long a caller may read nothing of an answer that fills the buffers of the system.
+    pub write: Duration,
+}
 
 impl Progress {
     /// Records that the head of a request is complete, and returns the request's place on the connection.
@@ -77,29 +97,72 @@
         (current & STATE_MASK == READING_HEAD).then_some(current)
     }
 
-    /// Runs a connection until it ends, or until receiving one of its heads takes longer than `limit`.
-    pub async fn run_connection<F>(&self, connection: F, limit: Duration)
-    where
+    /// Tells whether the connection has no request: it is idle, or a part of a head has arrived.
+    pub fn has_no_request(&self) -> bool {
+        self.0.load(Ordering::Acquire) & STATE_MASK != SERVING
+            && !self.1.blocked.load(Ordering::Acquire)
+    }
+
+    /// Tells whether the head of a request has ever been complete.
+    pub fn has_had_request(&self) -> bool {
+        let current = self.0.load(Ordering::Acquire);
+        let incomplete = u64::from(current & STATE_MASK == READING_HEAD);
+        current / HEAD_COUNT_UNIT > incomplete
+    }
+
+    /// Returns what must change while a time limit runs, with that limit; absent if none runs.
+    fn pending_step(&self, timeouts: Timeouts) -> Option<(u64, Duration)> {
+        if let Some(head) = self.current_head() {
+            return Some((head, timeouts.head));
+        }
+        let blocked = self.1.blocked.load(Ordering::Acquire);
+        // States of heads that are being read never equal these.
+        let step = self.1.written.load(Ordering::Acquire) * HEAD_COUNT_UNIT;
+        blocked.then_some((step, timeouts.write))
+    }
+
+    /// Runs a connection until it ends, until a step of it takes longer than its time limit, or until it has no
+    /// request when `displaced` completes.
+    pub async fn run_connection<F>(
+        &self,
+        connection: F,
+        timeouts: Timeouts,
+        mut displaced: oneshot::Receiver<Infallible>,
+    ) where
         F: Future,
     {
         let mut connection = pin!(connection);
         let mut timer: Option<(u64, Pin<Box<Sleep>>)> = None;
+        let mut is_displaced = false;
         poll_fn(|cx| {
+            is_displaced = is_displaced || Pin::new(&mut displaced).poll(cx).is_ready();
+            // Only the poll of the connection can make a request of what has arrived.
+            if is_displaced && self.has_no_request() {
+                return Poll::Ready(());
+            }
             if connection.as_mut().poll(cx).is_ready() {
                 return Poll::Ready(());
             }
             // Most heads arrive complete, and need no timer.
-            let Some(head) = self.current_head() else {
+            let Some((step, limit)) = self.pending_step(timeouts) else {
                 timer = None;
                 return Poll::Pending;
             };
-            timer.take_if(|(timed_head, _)| *timed_head != head);
+            timer.take_if(|(timed_step, _)| *timed_step != step);
             let (_, sleep) =
-                timer.get_or_insert_with(|| (head, Box::pin(sleep_until(Instant::now() + limit))));
+                timer.get_or_insert_with(|| (step, Box::pin(sleep_until(Instant::now() + limit))));
             sleep.as_mut().poll(cx)
         })
         .await;
     }
+
+    /// Records whether the system has accepted a write.
+    fn record_write<T>(&self, write: &Poll<T>) {
+        if write.is_ready() {
+            self.1.written.fetch_add(1, Ordering::AcqRel);
+        }
+        self.1.blocked.store(write.is_pending(), Ordering::Release);
+    }
 }
 
 /// A TCP stream that records in [`Progress`] when bytes arrive.
@@ -137,7 +200,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let write = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.progress.record_write(&write);
+        write
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -153,7 +218,9 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let write = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.progress.record_write(&write);
+        write
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -6,6 +6,7 @@
 pub mod head;
 pub mod keyspace;
 pub mod members;
+pub mod memory;
 mod metered;
 pub mod mirror;
 pub mod operator;
--- a/src/connection/operator.rs
+++ b/src/connection/operator.rs
@@ -10,6 +10,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use tokio::net::TcpListener;
 
+use super::memory::Budget;
 use super::server::{HEAD_MAX_BYTES, Limits, Server};
 
 /// The limits of the server. Only a few tools are connected to a node at a time.
@@ -37,6 +38,7 @@
     Server::spawn(
         listener,
         || SERVER_LIMITS,
+        Budget::unlimited(),
         move |request| {
             let handler = Arc::clone(&handler);
             async move { serve(request, &*handler).await }
--- a/src/connection/outbound.rs
+++ b/src/connection/outbound.rs
@@ -18,7 +18,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1;
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::http::response;
@@ -31,6 +31,7 @@
 use tokio::net::TcpStream;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::memory::Budget;
 use super::metered::{Allowance, MeteredStream};
 use super::target::{ANSWER_MAX_BYTES, POLL_ROUNDS};
 use crate::process::registry::TargetKey;
@@ -148,6 +149,8 @@
     idle: Mutex<SecondaryMap<TargetKey, Vec<Connection>>>,
     /// The size of the bodies that are being received.
     bodies: AtomicUsize,
+    /// The memory of this node for callers, in which the bodies count until their last copy is dropped.
+    memory: Budget,
 }
 
 type Driver = http1::Connection<TokioIo<MeteredStream>, Full<Bytes>>;
@@ -168,11 +171,12 @@
 
 impl Pool {
     /// Returns an empty pool.
-    pub fn new(clock: Clock) -> Self {
+    pub fn new(clock: Clock, memory: Budget) -> Self {
         Self {
             clock,
             idle: Mutex::default(),
             bodies: AtomicUsize::new(0),
+            memory,
         }
     }
 
@@ -269,10 +273,7 @@
                 return CallResult::unanswered(Outcome::NotRun(FailureCause::Unsent));
             }
             let request = protocol.request(call, endpoint, remaining);
-            let error = match connection
-                .send_and_receive(request, sent, &self.bodies)
-                .await
-            {
+            let error = match connection.send_and_receive(request, sent, self).await {
                 Ok((head, body)) => {
                     let answer = protocol.interpret(call, &head, body, has_carried_answer);
                     if !endpoint.dedicated && !matches!(answer.outcome, Outcome::Lost(_)) {
@@ -401,7 +402,7 @@
         &mut self,
         request: Request<Full<Bytes>>,
         sent: &AtomicBool,
-        bodies: &AtomicUsize,
+        pool: &Pool,
     ) -> Result<(response::Parts, Bytes), ExchangeError> {
         self.allowance.set(EXCHANGE_MAX_BYTES);
         // Detects, before the request is written, that the target has closed a reused connection or
@@ -422,7 +423,7 @@
                 None => ExchangeError::Closed,
             })?;
         let (head, body) = response.into_parts();
-        let collected = collect_body(body, bodies);
+        let collected = collect_body(body, pool);
         let body = poll_until_ready(&mut self.driver, &mut self.closed, collected).await;
         let body = body.map_err(|e| match e {
             ExchangeError::Closed if self.allowance.is_used_up() => ExchangeError::TooLarge,
@@ -434,22 +435,27 @@
     }
 }
 
-/// Receives a complete body. `bodies` counts the bytes of all bodies that are being received.
-async fn collect_body(mut body: Incoming, bodies: &AtomicUsize) -> Result<Bytes, ExchangeError> {
-    let mut received = ReceivedBytes { bodies, own: 0 };
-    let mut parts: SmallVec<[Bytes; 1]> = SmallVec::new();
+/// Receives a complete body, counted among those that the pool is receiving.
+async fn collect_body(mut body: Incoming, pool: &Pool) -> Result<Bytes, ExchangeError> {
+    let mut received = ReceivedBytes {
+        bodies: &pool.bodies,
+        own: 0,
+    };
+    let announced = body.size_hint().exact();
+    let max_bytes = announced.and_then(|length| usize::try_from(length).ok());
+    let max_bytes = max_bytes.unwrap_or(ANSWER_MAX_BYTES).min(ANSWER_MAX_BYTES);
+    let mut reception = pool.memory.start_answer(max_bytes);
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(|_broken| ExchangeError::Closed)?.into_data() else {
             // Trailers are not passed on.
             continue;
         };
         received.add(data.len())?;
-        parts.push(data);
+        reception
+            .append(&data)
+            .map_err(|_exceeded| ExchangeError::TooLarge)?;
     }
-    Ok(match parts.len() {
-        1 => parts.remove(0),
-        _ => parts.concat().into(),
-    })
+    Ok(reception.finish())
 }
 
 /// The received part of one body, as counted among all bodies until it is dropped.
--- a/src/connection/server.rs
+++ b/src/connection/server.rs
@@ -2,7 +2,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,13 +12,16 @@
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
+use slotmap::{SlotMap, new_key_type};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
+use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout_at};
 use tokio_util::sync::CancellationToken;
 
 use super::head;
+use super::memory::{Budget, Permit};
+use crate::time::{Clock, Moment};
 
 /// The delay before accepting again after a failure, for example for lack of file descriptors.
 /// Without it, the server would retry in a busy loop.
@@ -36,6 +39,23 @@
 /// The default maximum head of a request: its request line and headers.
 pub const HEAD_MAX_BYTES: usize = 64 << 10;
 
+/// The cost of a connection beside its largest head: the buffer for writing and the second one for reading, 8 KiB
+/// each, and 4 KiB for its task and the entries of the system for it.
+const CONNECTION_BASE_BYTES: usize = 20 << 10;
+/// How long a connection may be open without a request before a new one may displace it. The first request of a
+/// caller usually arrives with the connection.
+const DISPLACEMENT_AGE_MIN: Duration = Duration::from_millis(250);
+
+/// Returns the memory that a connection holds whose heads have at most the given size.
+pub const fn connection_cost(head_max_bytes: usize) -> usize {
+    let head_max_bytes = if head_max_bytes < HEAD_BUFFER_MIN_BYTES {
+        HEAD_BUFFER_MIN_BYTES
+    } else {
+        head_max_bytes
+    };
+    CONNECTION_BASE_BYTES + head_max_bytes
+}
+
 /// The limits of a server and of each of its connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
@@ -45,7 +65,8 @@
     pub head_timeout: Duration,
     /// Maximum size of the request line and the headers. Values below 8 KiB count as 8 KiB.
     pub head_max_bytes: usize,
-    /// Maximum number of open connections. Further ones are closed immediately, to bound memory.
+    /// Maximum number of open connections, to bound memory. A further one takes the place of one without a
+    /// request; if there is none, it is closed immediately.
     pub max_connections: usize,
 }
 
@@ -61,8 +82,13 @@
     /// Starts a server that passes each request to `handler`, with its [`head::Place`] as an extension.
     ///
     /// Each connection keeps the limits that `limits` returned when the connection was accepted. The
-    /// number of connections is fixed when the server starts.
-    pub fn spawn<L, H, F>(listener: TcpListener, limits: L, handler: H) -> std::io::Result<Self>
+    /// number of connections is fixed when the server starts. Connections are counted in `memory`.
+    pub fn spawn<L, H, F>(
+        listener: TcpListener,
+        limits: L,
+        memory: Budget,
+        handler: H,
+    ) -> std::io::Result<Self>
     where
         L: Fn() -> Limits + Send + 'static,
         H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
@@ -70,7 +96,7 @@
     {
         let address = listener.local_addr()?;
         let stop = CancellationToken::new();
-        let task = tokio::spawn(accept(listener, limits, handler, stop.clone()));
+        let task = tokio::spawn(accept(listener, limits, memory, handler, stop.clone()));
         Ok(Self {
             address,
             stop,
@@ -99,14 +125,19 @@
     }
 }
 
-async fn accept<L, H, F>(listener: TcpListener, limits: L, handler: H, stop: CancellationToken)
-where
+async fn accept<L, H, F>(
+    listener: TcpListener,
+    limits: L,
+    memory: Budget,
+    handler: H,
+    stop: CancellationToken,
+) where
     L: Fn() -> Limits + Send + 'static,
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
 {
     let graceful = GracefulShutdown::new();
-    let connection_slots = Arc::new(Semaphore::new(limits().max_connections));
+    let connections = Connections::open(limits().max_connections, memory);
     loop {
         let accepted = tokio::select! {
             () = stop.cancelled() => break,
@@ -116,12 +147,12 @@
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        serve(stream, &connection_slots, limits(), &handler, &graceful);
+        serve(stream, &connections, limits(), &handler, &graceful);
     }
     // The system has completed the connections in the queue, so their callers wait for an answer.
     let end = Instant::now() + LAST_ACCEPT_TIME;
     while let Ok(Ok((stream, _))) = timeout_at(end, listener.accept()).await {
-        serve(stream, &connection_slots, limits(), &handler, &graceful);
+        serve(stream, &connections, limits(), &handler, &graceful);
     }
     drop(listener);
     // The shutdown closes connections on which nothing has been read.
@@ -129,10 +160,111 @@
     graceful.shutdown().await;
 }
 
+/// The open connections of a server. Clones share them.
+#[derive(Debug, Clone)]
+struct Connections {
+    open: Arc<Mutex<SlotMap<ConnectionKey, Connection>>>,
+    max: usize,
+    memory: Budget,
+    clock: Clock,
+}
+
+new_key_type! {
+    /// Identifies an open connection of a server.
+    struct ConnectionKey;
+}
+
+/// An open connection.
+#[derive(Debug)]
+struct Connection {
+    opened_at: Moment,
+    progress: head::Progress,
+    _memory: Permit,
+    /// Dropped with the entry, which closes the connection if it has no request.
+    _displaced: oneshot::Sender<Infallible>,
+}
+
+/// The place of a connection among those of its server, until this is dropped.
+#[derive(Debug)]
+struct Slot {
+    connections: Connections,
+    key: ConnectionKey,
+}
+
+impl Connections {
+    fn open(max: usize, memory: Budget) -> Self {
+        Self {
+            open: Arc::default(),
+            max,
+            memory,
+            clock: Clock::start(),
+        }
+    }
+
+    /// Makes room for a connection of the given cost; absent if there is none.
+    fn take_slot(
+        &self,
+        progress: &head::Progress,
+        cost: usize,
+    ) -> Option<(Slot, oneshot::Receiver<Infallible>)> {
+        let now = self.clock.now();
+        let mut open = self.lock();
+        let memory = loop {
+            if open.len() < self.max
+                && let Ok(memory) = self.memory.hold_connection(cost)
+            {
+                break memory;
+            }
+            let Some(displaced) = select_displaced(&open, now) else {
+                self.memory.count_refused_connection();
+                return None;
+            };
+            open.remove(displaced);
+            self.memory.count_displaced_connection();
+        };
+        let (sender, displaced) = oneshot::channel();
+        let key = open.insert(Connection {
+            opened_at: now,
+            progress: progress.clone(),
+            _memory: memory,
+            _displaced: sender,
+        });
+        drop(open);
+        let slot = Slot {
+            connections: self.clone(),
+            key,
+        };
+        Some((slot, displaced))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, SlotMap<ConnectionKey, Connection>> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.connections.lock().remove(self.key);
+    }
+}
+
+/// Returns the connection that a new one displaces: the oldest one that has never had a request, or else the
+/// oldest one that has none now.
+fn select_displaced(
+    open: &SlotMap<ConnectionKey, Connection>,
+    now: Moment,
+) -> Option<ConnectionKey> {
+    open.iter()
+        .filter(|(_, it)| now.since(it.opened_at) >= DISPLACEMENT_AGE_MIN)
+        .filter(|(_, it)| it.progress.has_no_request())
+        .min_by_key(|(_, it)| (it.progress.has_had_request(), it.opened_at))
+        .map(|(key, _)| key)
+}
+
 /// Starts to serve a connection, or closes it if there are too many.
 fn serve<H, F>(
     stream: TcpStream,
-    connection_slots: &Arc<Semaphore>,
+    connections: &Connections,
     limits: Limits,
     handler: &H,
     graceful: &GracefulShutdown,
@@ -140,13 +272,14 @@
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
 {
-    let Ok(slot) = Arc::clone(connection_slots).try_acquire_owned() else {
+    let progress = head::Progress::default();
+    let cost = connection_cost(limits.head_max_bytes);
+    let Some((slot, displaced)) = connections.take_slot(&progress, cost) else {
         return;
     };
     // A failure is ignored: without this option, answers are only slower.
     let _ = stream.set_nodelay(true);
     let handler = handler.clone();
-    let progress = head::Progress::default();
     let stream = head::TrackedStream::open(stream, progress.clone());
     let request_progress = progress.clone();
     let service = service_fn(move |mut request: Request<Incoming>| {
@@ -167,8 +300,12 @@
     let connection = graceful.watch(connection);
     tokio::spawn(async move {
         // The client detects a broken connection itself.
+        let timeouts = head::Timeouts {
+            head: limits.head_timeout,
+            write: limits.idle_timeout,
+        };
         progress
-            .run_connection(connection, limits.head_timeout)
+            .run_connection(connection, timeouts, displaced)
             .await;
         drop(slot);
     });
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -30,6 +30,7 @@
 use super::roster::Roster;
 use crate::connection::head::Place;
 use crate::connection::keyspace::{Keyspace, Revision};
+use crate::connection::memory;
 use crate::connection::mirror::Update;
 use crate::connection::outbound::{Call, Pool, Protocol};
 use crate::request::admission::Admission;
@@ -63,6 +64,8 @@
     pub grace_period: Duration,
     /// The interval at which targets write to the store.
     pub target_heartbeat: Duration,
+    /// The memory that callers may make the node hold.
+    pub memory: memory::Budget,
 }
 
 /// The adapters through which an entry instance uses a platform.
@@ -250,7 +253,7 @@
             protocol: platform.protocol,
             route_table: ArcSwapOption::empty(),
             placement: Mutex::new(placement),
-            pool: Pool::new(clock),
+            pool: Pool::new(clock, config.memory.clone()),
             roster: Mutex::default(),
             mirrors: Mutex::new(mirrors.collect()),
             latency_estimates: Mutex::default(),
@@ -285,6 +288,16 @@
         self.shared.estimate_arrival(self.shared.clock.now())
     }
 
+    /// Returns the present moment on the clock of the instance.
+    pub fn now(&self) -> Moment {
+        self.shared.clock.now()
+    }
+
+    /// Returns the memory that callers may make the node hold.
+    pub fn memory(&self) -> &memory::Budget {
+        &self.shared.config.memory
+    }
+
     /// Returns the size limits for requests of callers, from the settings in force.
     pub fn limits(&self) -> Limits {
         let table = self.shared.route_table.load();
@@ -335,6 +348,7 @@
         let log_limits = self.shared.log_limits();
         let rate_limited_lines = log_limits.requests.dropped() + log_limits.subrequests.dropped();
         drop(log_limits);
+        self.shared.meters.set_memory(&self.memory().usage());
         self.shared.meters.render(rate_limited_lines)
     }
 
--- a/src/process/meters.rs
+++ b/src/process/meters.rs
@@ -2,6 +2,7 @@
 //! coordinator node are in [`super::metrics`].
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use prometheus_client::encoding::EncodeLabelSet;
@@ -13,6 +14,7 @@
 use prometheus_client::registry::{Registry, Unit};
 
 use super::journal;
+use crate::connection::memory;
 
 /// Labels of a request or subrequest that ended.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -39,6 +41,13 @@
     pub outcome: &'static str,
 }
 
+/// Label of what was refused or given up because the memory for callers was used up.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct MemoryRefusalLabel {
+    /// What it was, for example `refused_body` or `displaced_connection`.
+    pub what: &'static str,
+}
+
 /// Label of a probe, that is, a connection opened to a target that does not answer.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct ProbeLabel {
@@ -78,6 +87,12 @@
     pub limited_targets: Gauge,
     /// Other nodes whose heartbeats arrived lately.
     pub nodes: Gauge,
+    /// Bytes that callers make the node hold.
+    pub memory_held: Gauge,
+    /// Bytes that callers may make the node hold.
+    pub memory_capacity: Gauge,
+    /// What was refused or given up because the memory for callers was used up.
+    pub memory_refusals: Family<MemoryRefusalLabel, Counter>,
     /// Requests that are being served.
     pub running_requests: Gauge,
     /// The time from sending a request, as far as the node knows it, to its answer, in seconds.
@@ -109,6 +124,9 @@
             targets: Gauge::default(),
             limited_targets: Gauge::default(),
             nodes: Gauge::default(),
+            memory_held: Gauge::default(),
+            memory_capacity: Gauge::default(),
+            memory_refusals: Family::default(),
             running_requests: Gauge::default(),
             request_time: latency_histogram(),
             subrequest_time: latency_histogram(),
@@ -178,6 +196,21 @@
             self.limited_targets.clone(),
         );
         registry.register("nodes", "Other nodes heard lately", self.nodes.clone());
+        registry.register(
+            "caller_memory_bytes",
+            "Memory that callers make the node hold",
+            self.memory_held.clone(),
+        );
+        registry.register(
+            "caller_memory_limit_bytes",
+            "Memory that callers may make the node hold",
+            self.memory_capacity.clone(),
+        );
+        registry.register(
+            "caller_memory_refusals",
+            "What was refused or given up for lack of memory or connections",
+            self.memory_refusals.clone(),
+        );
         registry.register(
             "running_requests",
             "Requests that run now",
@@ -239,6 +272,26 @@
             .inc();
     }
 
+    /// Takes over what the memory for callers holds and has refused.
+    pub fn set_memory(&self, usage: &memory::Usage) {
+        let bytes = |bytes: usize| i64::try_from(bytes).unwrap_or(i64::MAX);
+        self.memory_held.set(bytes(usage.held));
+        self.memory_capacity.set(bytes(usage.capacity));
+        for (what, count) in [
+            ("refused_connection", usage.refused_connections),
+            ("displaced_connection", usage.displaced_connections),
+            ("refused_body", usage.refused_bodies),
+            ("displaced_body", usage.displaced_bodies),
+            ("refused_request", usage.refused_requests),
+            ("refused_answer", usage.refused_answers),
+        ] {
+            let counter = self
+                .memory_refusals
+                .get_or_create(&MemoryRefusalLabel { what });
+            counter.inner().store(count, Ordering::Relaxed);
+        }
+    }
+
     /// Renders all metrics in the Prometheus text format. `rate_limited_lines` is the number of log lines
     /// that were dropped by rate limits.
     pub fn render(&self, rate_limited_lines: u64) -> String {
--- a/src/request/reply.rs
+++ b/src/request/reply.rs
@@ -134,6 +134,9 @@
     /// This node runs too many requests or is overloaded.
     #[display("overload")]
     Overload,
+    /// The memory of this node for callers is used up.
+    #[display("memory")]
+    Memory,
 }
 
 /// The reason for which a request is invalid.
--- a/tests/entry_failure.rs
+++ b/tests/entry_failure.rs
@@ -11,6 +11,7 @@
 use redwinggrade::connection::keyspace::{
     Batch, Era, Error, Freshness, Keyspace, Lease, Page, Revision,
 };
+use redwinggrade::connection::memory::Budget;
 use redwinggrade::connection::outbound::{Call, CallResult, Endpoint, Protocol};
 use redwinggrade::process::budget::Bound;
 use redwinggrade::process::entry::{Config, Entry, Platform};
@@ -114,6 +115,7 @@
         },
         grace_period: Duration::from_secs(6),
         target_heartbeat: Duration::from_secs(1),
+        memory: Budget::unlimited(),
     };
     let platform = Platform {
         keyspace: Arc::new(PanickingStore),
--- a/tests/server.rs
+++ b/tests/server.rs
@@ -7,6 +7,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use redwinggrade::connection::head::Place;
+use redwinggrade::connection::memory::Budget;
 use redwinggrade::connection::server::{HEAD_MAX_BYTES, Limits, Server};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -27,7 +28,8 @@
         let place = request.extensions().get::<Place>();
         Response::new(Full::new(Bytes::from(format!("{place:?}"))))
     };
-    Server::spawn(listener.expect("a port is free"), move || limits, handler)
+    let listener = listener.expect("a port is free");
+    Server::spawn(listener, move || limits, Budget::unlimited(), handler)
         .expect("the server starts")
 }
 
