Let connections, requests and answers displace stalled bodies

Cause: stalled bodies gave way only to other bodies, so that they could keep ordinary callers from connecting and answers out; a slot of a connection with a stalled small body was kept until the body's time-out; small answers counted as 16 KiB each, too much for a query over hundreds of shards; an answer that is not read was held for the idle time-out however short the memory was. Change: all of them displace the body that has been stalled for longest; small bodies count in units of 1 KiB; while more than three quarters are held, an answer of which nothing is read for a second ends its connection.

--- a/src/connection/caller.rs
+++ b/src/connection/caller.rs
@@ -32,6 +32,7 @@
     head_timeout: Duration::from_secs(30),
     head_max_bytes: HEAD_MAX_BYTES,
     max_connections: 10_000,
+    displaces_bodies: false,
 };
 
 /// Handles well-formed requests of callers.
--- a/src/connection/head.rs
+++ b/src/connection/head.rs
@@ -50,6 +50,9 @@
     blocked: AtomicBool,
 }
 
+/// How long a caller may read nothing of its answer while the memory is short.
+const WRITE_TIMEOUT_SHORT: Duration = Duration::from_secs(1);
+
 /// The time limits within which a connection must make progress.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Timeouts {
@@ -110,29 +113,30 @@
         current / HEAD_COUNT_UNIT > incomplete
     }
 
-    /// Returns what must change while a time limit runs, with that limit; absent if none runs.
-    fn pending_step(&self, timeouts: Timeouts) -> Option<(u64, Duration)> {
+    /// Returns the step that must end within a time limit; absent if there is none.
+    fn pending_step(&self) -> Option<Step> {
         if let Some(head) = self.current_head() {
-            return Some((head, timeouts.head));
+            return Some(Step::Head(head));
         }
         let blocked = self.1.blocked.load(Ordering::Acquire);
-        // States of heads that are being read never equal these.
-        let step = self.1.written.load(Ordering::Acquire) * HEAD_COUNT_UNIT;
-        blocked.then_some((step, timeouts.write))
+        blocked.then(|| Step::Write(self.1.written.load(Ordering::Acquire)))
     }
 
     /// Runs a connection until it ends, until a step of it takes longer than its time limit, or until it has no
-    /// request when `displaced` completes.
-    pub async fn run_connection<F>(
+    /// request when `displaced` completes. While `is_short` holds, an answer that its caller does not read ends it
+    /// earlier.
+    pub async fn run_connection<F, S>(
         &self,
         connection: F,
         timeouts: Timeouts,
+        is_short: S,
         mut displaced: oneshot::Receiver<Infallible>,
     ) where
         F: Future,
+        S: Fn() -> bool,
     {
         let mut connection = pin!(connection);
-        let mut timer: Option<(u64, Pin<Box<Sleep>>)> = None;
+        let mut timer: Option<StepTimer> = None;
         let mut is_displaced = false;
         poll_fn(|cx| {
             is_displaced = is_displaced || Pin::new(&mut displaced).poll(cx).is_ready();
@@ -144,14 +148,13 @@
                 return Poll::Ready(());
             }
             // Most heads arrive complete, and need no timer.
-            let Some((step, limit)) = self.pending_step(timeouts) else {
+            let Some(step) = self.pending_step() else {
                 timer = None;
                 return Poll::Pending;
             };
-            timer.take_if(|(timed_step, _)| *timed_step != step);
-            let (_, sleep) =
-                timer.get_or_insert_with(|| (step, Box::pin(sleep_until(Instant::now() + limit))));
-            sleep.as_mut().poll(cx)
+            timer.take_if(|timer| timer.step != step);
+            let timer = timer.get_or_insert_with(|| StepTimer::start(step, timeouts));
+            timer.poll_elapsed(&is_short, cx)
         })
         .await;
     }
@@ -165,6 +168,54 @@
     }
 }
 
+/// A step of a connection that must end within a time limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Step {
+    /// Receiving the rest of a head, which the value identifies.
+    Head(u64),
+    /// Writing more after the given number of writes.
+    Write(u64),
+}
+
+/// The timer of a step.
+#[derive(Debug)]
+struct StepTimer {
+    step: Step,
+    end: Instant,
+    sleep: Pin<Box<Sleep>>,
+}
+
+impl StepTimer {
+    fn start(step: Step, timeouts: Timeouts) -> Self {
+        let now = Instant::now();
+        let (end, wake) = match step {
+            Step::Head(_) => (now + timeouts.head, now + timeouts.head),
+            Step::Write(_) => (now + timeouts.write, now + WRITE_TIMEOUT_SHORT),
+        };
+        Self {
+            step,
+            end,
+            sleep: Box::pin(sleep_until(wake.min(end))),
+        }
+    }
+
+    /// Completes when the step has taken too long.
+    fn poll_elapsed<S>(&mut self, is_short: &S, cx: &mut Context<'_>) -> Poll<()>
+    where
+        S: Fn() -> bool,
+    {
+        loop {
+            ready!(self.sleep.as_mut().poll(cx));
+            let now = Instant::now();
+            if now >= self.end || is_short() {
+                return Poll::Ready(());
+            }
+            let wake = (now + WRITE_TIMEOUT_SHORT).min(self.end);
+            self.sleep.as_mut().reset(wake);
+        }
+    }
+}
+
 /// A TCP stream that records in [`Progress`] when bytes arrive.
 #[derive(Debug)]
 pub struct TrackedStream {
--- a/src/connection/memory.rs
+++ b/src/connection/memory.rs
@@ -20,13 +20,16 @@
 
 use crate::time::Moment;
 
-/// The unit in which bodies are counted and their progress is measured, and the size up to which a body counts as
-/// small. It is a multiple of the page size of nearly all systems.
+/// The size up to which a body counts as small, and the unit in which larger ones are counted and their progress is
+/// measured. It is a multiple of the page size of nearly all systems.
 pub const STEP_BYTES: usize = 16 << 10;
+/// The unit in which small bodies are counted and their progress is measured. The answers of all shards to a query
+/// are held at the same time, and most of them are smaller than this.
+const SMALL_STEP_BYTES: usize = 1 << 10;
 /// One part in this number of the budget is kept for connections and small bodies.
 const RESERVE_ONE_IN: usize = 4;
 /// How long a body must have made no step before another one may displace it. A caller on a slow link of
-/// 1 Mbit/s makes a step in half of this time.
+/// 1 Mbit/s makes a step of 16 KiB in half of this time.
 const STALL_MIN: Duration = Duration::from_millis(250);
 
 new_key_type! {
@@ -115,11 +118,17 @@
         self.lock().usage
     }
 
-    /// Holds the cost of a connection, for which the whole budget may be used.
-    pub fn hold_connection(&self, bytes: usize) -> Result<Permit, Exceeded> {
+    /// Tells whether new work displaces what makes no progress.
+    pub fn is_short(&self) -> bool {
+        let usage = self.lock().usage;
+        usage.held > usage.capacity - usage.capacity / RESERVE_ONE_IN
+    }
+
+    /// Holds the cost of a connection, for which the whole budget may be used and stalled bodies are displaced.
+    pub fn hold_connection(&self, bytes: usize, now: Moment) -> Result<Permit, Exceeded> {
         let mut state = self.lock();
         let capacity = state.usage.capacity;
-        state.reserve(bytes, capacity)?;
+        state.reserve_displacing(bytes, capacity, now, None)?;
         drop(state);
         Ok(Permit {
             budget: self.clone(),
@@ -146,17 +155,28 @@
         self.lock().usage.displaced_connections += 1;
     }
 
-    /// Tells whether a request may start, that is, whether there is room for its answer. A request for which there
-    /// is none must be refused before anything is sent to a target.
-    pub fn admit_request(&self) -> Result<(), Exceeded> {
+    /// Tells whether a request may start, that is, whether there is room for its answer; stalled bodies are displaced
+    /// for it. A request for which there is none must be refused before anything is sent to a target.
+    pub fn admit_request(&self, now: Moment) -> Result<(), Exceeded> {
         let mut state = self.lock();
-        let usage = &mut state.usage;
         // Half of the reserve is left for the answers of requests that have started.
-        if usage.held > usage.capacity - usage.capacity / RESERVE_ONE_IN / 2 {
-            usage.refused_requests += 1;
-            return Err(Exceeded);
+        let limit = state.usage.capacity - state.usage.capacity / RESERVE_ONE_IN / 2;
+        let admitted = state.reserve_displacing(0, limit, now, None);
+        if admitted.is_err() {
+            state.usage.refused_requests += 1;
         }
-        Ok(())
+        admitted
+    }
+
+    /// Gives up the body that has made no step for longest, if it is stalled, so that its connection ends. Returns
+    /// whether there was one.
+    pub fn displace_body(&self, now: Moment) -> bool {
+        let mut state = self.lock();
+        let stalled = state.find_stalled(now, |_| true);
+        stalled.is_some_and(|body| {
+            state.displace(body);
+            true
+        })
     }
 
     /// Starts to receive the body of a request of at most `max_bytes`. Nothing is held before a byte arrives.
@@ -175,6 +195,7 @@
     }
 
     /// Starts to receive the body of an answer of at most `max_bytes`. It is never displaced.
+    /// Stalled bodies of requests are displaced for it.
     pub fn start_answer(&self, max_bytes: usize) -> AnswerReception {
         AnswerReception {
             permit: Permit {
@@ -202,11 +223,51 @@
         Ok(())
     }
 
-    /// Adds received bytes to a body. While there is no room, the body with the oldest step is displaced, unless
-    /// it is the one that grows or has made a step lately.
+    /// Holds bytes if no more than `limit` are held then. While there is no room, stalled bodies are displaced; for
+    /// a body that grows, only those whose last step is older than its own.
+    fn reserve_displacing(
+        &mut self,
+        bytes: usize,
+        limit: usize,
+        now: Moment,
+        growing: Option<BodyKey>,
+    ) -> Result<(), Exceeded> {
+        let own_step = growing.and_then(|key| self.bodies.get(key).map(|it| it.stepped_at));
+        loop {
+            if self.reserve(bytes, limit).is_ok() {
+                return Ok(());
+            }
+            let stalled = self
+                .find_stalled(now, |it| it.buffer.cost() > 0)
+                .ok_or(Exceeded)?;
+            let is_older = |own_step| self.bodies[stalled].stepped_at < own_step;
+            if growing == Some(stalled) || !own_step.is_none_or(is_older) {
+                return Err(Exceeded);
+            }
+            self.displace(stalled);
+        }
+    }
+
+    /// Returns the body with the oldest step among those that `filter` accepts, if it is stalled.
+    fn find_stalled<F>(&self, now: Moment, filter: F) -> Option<BodyKey>
+    where
+        F: Fn(&Body) -> bool,
+    {
+        let bodies = self.bodies.iter().filter(|(_, it)| filter(it));
+        bodies
+            .min_by_key(|(_, it)| it.stepped_at)
+            .filter(|(_, it)| now.since(it.stepped_at) >= STALL_MIN)
+            .map(|(key, _)| key)
+    }
+
+    fn displace(&mut self, key: BodyKey) {
+        self.release_body(key);
+        self.usage.displaced_bodies += 1;
+    }
+
+    /// Adds received bytes to a body, for which others may be displaced.
     fn append(&mut self, key: BodyKey, data: &[u8], now: Moment) -> Result<(), Exceeded> {
         let body = self.bodies.get(key).ok_or(Exceeded)?;
-        let own_step = body.stepped_at;
         let needed = body.buffer.cost_with(data.len()) - body.buffer.cost();
         let capacity = self.usage.capacity;
         let limit = if body.buffer.cost() + needed <= STEP_BYTES {
@@ -214,21 +275,9 @@
         } else {
             capacity - capacity / RESERVE_ONE_IN
         };
-        while self.reserve(needed, limit).is_err() {
-            let slowest = self
-                .bodies
-                .iter()
-                .filter(|(_, it)| it.buffer.cost() > 0)
-                .min_by_key(|(_, it)| it.stepped_at)
-                .map(|(key, it)| (key, it.stepped_at));
-            let Some((slowest, stepped_at)) = slowest else {
-                return self.refuse_body();
-            };
-            if slowest == key || stepped_at >= own_step || now.since(stepped_at) < STALL_MIN {
-                return self.refuse_body();
-            }
-            self.release_body(slowest);
-            self.usage.displaced_bodies += 1;
+        if needed > 0 {
+            let reserved = self.reserve_displacing(needed, limit, now, Some(key));
+            reserved.or_else(|_exceeded| self.refuse_body())?;
         }
         let body = self.bodies.get_mut(key).ok_or(Exceeded)?;
         if needed > 0 {
@@ -313,11 +362,14 @@
 
 impl AnswerReception {
     /// Copies received bytes, which must not exceed the maximum in total.
-    pub fn append(&mut self, data: &[u8]) -> Result<(), Exceeded> {
+    pub fn append(&mut self, data: &[u8], now: Moment) -> Result<(), Exceeded> {
         let needed = self.buffer.cost_with(data.len()) - self.buffer.cost();
         let mut state = self.permit.budget.lock();
         let capacity = state.usage.capacity;
-        if state.reserve(needed, capacity).is_err() {
+        if state
+            .reserve_displacing(needed, capacity, now, None)
+            .is_err()
+        {
             state.usage.refused_answers += 1;
             return Err(Exceeded);
         }
@@ -371,7 +423,12 @@
 
     /// Returns the memory that the buffer holds with more bytes in it.
     const fn cost_with(&self, more: usize) -> usize {
-        (self.len() + more).next_multiple_of(STEP_BYTES)
+        let length = self.len() + more;
+        if length <= STEP_BYTES {
+            length.next_multiple_of(SMALL_STEP_BYTES)
+        } else {
+            length.next_multiple_of(STEP_BYTES)
+        }
     }
 
     fn append(&mut self, data: &[u8]) -> Result<(), Exceeded> {
@@ -380,7 +437,13 @@
             return Err(Exceeded);
         }
         match &mut self.content {
-            Content::Small(content) if end <= STEP_BYTES => content.extend_from_slice(data),
+            Content::Small(content) if end <= STEP_BYTES => {
+                if end > content.capacity() {
+                    let capacity = end.next_multiple_of(SMALL_STEP_BYTES);
+                    content.reserve_exact(capacity - content.len());
+                }
+                content.extend_from_slice(data);
+            }
             Content::Small(content) => {
                 let mut map = MmapMut::map_anon(self.max_bytes).map_err(|_no_memory| Exceeded)?;
                 map[..content.len()].copy_from_slice(content);
--- a/src/connection/operator.rs
+++ b/src/connection/operator.rs
@@ -19,6 +19,7 @@
     head_timeout: Duration::from_secs(10),
     head_max_bytes: HEAD_MAX_BYTES,
     max_connections: 100,
+    displaces_bodies: false,
 };
 
 /// Provides the data that a node shows to operators.
--- a/src/connection/outbound.rs
+++ b/src/connection/outbound.rs
@@ -452,7 +452,7 @@
         };
         received.add(data.len())?;
         reception
-            .append(&data)
+            .append(&data, pool.clock.now())
             .map_err(|_exceeded| ExchangeError::TooLarge)?;
     }
     Ok(reception.finish())
--- a/src/connection/server.rs
+++ b/src/connection/server.rs
@@ -68,6 +68,9 @@
     /// Maximum number of open connections, to bound memory. A further one takes the place of one without a
     /// request; if there is none, it is closed immediately.
     pub max_connections: usize,
+    /// Whether a connection beyond the maximum may also displace a stalled body that the budget is receiving, because
+    /// the bodies come over connections of this server.
+    pub displaces_bodies: bool,
 }
 
 /// A running server. It stops accepting connections when it is dropped.
@@ -137,7 +140,7 @@
     F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
 {
     let graceful = GracefulShutdown::new();
-    let connections = Connections::open(limits().max_connections, memory);
+    let connections = Connections::open(limits(), memory);
     loop {
         let accepted = tokio::select! {
             () = stop.cancelled() => break,
@@ -165,6 +168,7 @@
 struct Connections {
     open: Arc<Mutex<SlotMap<ConnectionKey, Connection>>>,
     max: usize,
+    displaces_bodies: bool,
     memory: Budget,
     clock: Clock,
 }
@@ -192,10 +196,11 @@
 }
 
 impl Connections {
-    fn open(max: usize, memory: Budget) -> Self {
+    fn open(limits: Limits, memory: Budget) -> Self {
         Self {
             open: Arc::default(),
-            max,
+            max: limits.max_connections,
+            displaces_bodies: limits.displaces_bodies,
             memory,
             clock: Clock::start(),
         }
@@ -210,17 +215,25 @@
         let now = self.clock.now();
         let mut open = self.lock();
         let memory = loop {
-            if open.len() < self.max
-                && let Ok(memory) = self.memory.hold_connection(cost)
+            let has_slot = open.len() < self.max;
+            if has_slot && let Ok(memory) = self.memory.hold_connection(cost, now) {
+                break memory;
+            }
+            if let Some(displaced) = select_displaced(&open, now) {
+                open.remove(displaced);
+                self.memory.count_displaced_connection();
+                continue;
+            }
+            // The connection of a displaced body ends at the next turn of its task.
+            if !has_slot
+                && self.displaces_bodies
+                && self.memory.displace_body(now)
+                && let Ok(memory) = self.memory.hold_connection(cost, now)
             {
                 break memory;
             }
-            let Some(displaced) = select_displaced(&open, now) else {
-                self.memory.count_refused_connection();
-                return None;
-            };
-            open.remove(displaced);
-            self.memory.count_displaced_connection();
+            self.memory.count_refused_connection();
+            return None;
         };
         let (sender, displaced) = oneshot::channel();
         let key = open.insert(Connection {
@@ -304,8 +317,9 @@
             head: limits.head_timeout,
             write: limits.idle_timeout,
         };
+        let is_short = || slot.connections.memory.is_short();
         progress
-            .run_connection(connection, timeouts, displaced)
+            .run_connection(connection, timeouts, is_short, displaced)
             .await;
         drop(slot);
     });
--- a/tests/server.rs
+++ b/tests/server.rs
@@ -22,6 +22,7 @@
         head_timeout: Duration::from_secs(30),
         head_max_bytes: HEAD_MAX_BYTES,
         max_connections: MAX_CONNECTIONS,
+        displaces_bodies: false,
     };
     let listener = TcpListener::bind("127.0.0.1:0").await;
     let handler = async |request: Request<Incoming>| {
