Merge the memory budget for callers

One budget from the instance's memory counts connections, bodies and answers; stalled bodies give way first.

--- a/src/connection/caller.rs
+++ b/src/connection/caller.rs
@@ -13,6 +13,7 @@
 use hyper::{HeaderMap, Method, Request, Response};
 use tokio::net::TcpListener;
 
+use super::memory::Budget;
 use super::server::{HEAD_MAX_BYTES, Limits, Server};
 use crate::request::answer::Refusal;
 use crate::request::query_request::QueryRequest;
@@ -31,6 +32,7 @@
     head_timeout: Duration::from_secs(30),
     head_max_bytes: HEAD_MAX_BYTES,
     max_connections: 10_000,
+    displaces_bodies: false,
 };
 
 /// Handles well-formed requests of callers.
@@ -56,6 +58,7 @@
     Server::spawn(
         listener,
         || SERVER_LIMITS,
+        Budget::unlimited(),
         move |request| {
             let handler = Arc::clone(&handler);
             async move { serve(request, &*handler).await }
--- a/src/connection/head.rs
+++ b/src/connection/head.rs
@@ -3,16 +3,18 @@
 //! The HTTP library has one time limit for both. A caller that sends an incomplete head must not keep its
 //! connection open for as long as one that is idle between requests.
 
+use std::convert::Infallible;
 use std::future::poll_fn;
 use std::io;
 use std::pin::{Pin, pin};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::oneshot;
 use tokio::time::{Instant, Sleep, sleep_until};
 
 /// The bits of [`Progress`] that hold the state of the connection. The other bits count its heads.
@@ -37,7 +39,28 @@
 
 /// The progress of a connection with its current request. Clones share it.
 #[derive(Debug, Clone, Default)]
-pub struct Progress(Arc<AtomicU64>);
+pub struct Progress(Arc<AtomicU64>, Arc<WriteProgress>);
+
+/// The progress of a connection with its answers.
+#[derive(Debug, Default)]
+struct WriteProgress {
+    /// The number of writes that the system has accepted.
+    written: AtomicU64,
+    /// Whether the system accepts no more until the caller reads.
+    blocked: AtomicBool,
+}
+
+/// How long a caller may read nothing of its answer while the memory is short.
+const WRITE_TIMEOUT_SHORT: Duration = Duration::from_secs(1);
+
+/// The time limits within which a connection must make progress.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Timeouts {
+    /// Time limit from the first to the last byte of the head of a request.
+    pub head: Duration,
+    /// How long a caller may read nothing of an answer that fills the buffers of the system.
+    pub write: Duration,
+}
 
 impl Progress {
     /// Records that the head of a request is complete, and returns the request's place on the connection.
@@ -77,29 +100,120 @@
         (current & STATE_MASK == READING_HEAD).then_some(current)
     }
 
-    /// Runs a connection until it ends, or until receiving one of its heads takes longer than `limit`.
-    pub async fn run_connection<F>(&self, connection: F, limit: Duration)
-    where
+    /// Tells whether the connection has no request: it is idle, or a part of a head has arrived.
+    pub fn has_no_request(&self) -> bool {
+        self.0.load(Ordering::Acquire) & STATE_MASK != SERVING
+            && !self.1.blocked.load(Ordering::Acquire)
+    }
+
+    /// Tells whether the head of a request has ever been complete.
+    pub fn has_had_request(&self) -> bool {
+        let current = self.0.load(Ordering::Acquire);
+        let incomplete = u64::from(current & STATE_MASK == READING_HEAD);
+        current / HEAD_COUNT_UNIT > incomplete
+    }
+
+    /// Returns the step that must end within a time limit; absent if there is none.
+    fn pending_step(&self) -> Option<Step> {
+        if let Some(head) = self.current_head() {
+            return Some(Step::Head(head));
+        }
+        let blocked = self.1.blocked.load(Ordering::Acquire);
+        blocked.then(|| Step::Write(self.1.written.load(Ordering::Acquire)))
+    }
+
+    /// Runs a connection until it ends, until a step of it takes longer than its time limit, or until it has no
+    /// request when `displaced` completes. While `is_short` holds, an answer that its caller does not read ends it
+    /// earlier.
+    pub async fn run_connection<F, S>(
+        &self,
+        connection: F,
+        timeouts: Timeouts,
+        is_short: S,
+        mut displaced: oneshot::Receiver<Infallible>,
+    ) where
         F: Future,
+        S: Fn() -> bool,
     {
         let mut connection = pin!(connection);
-        let mut timer: Option<(u64, Pin<Box<Sleep>>)> = None;
+        let mut timer: Option<StepTimer> = None;
+        let mut is_displaced = false;
         poll_fn(|cx| {
+            is_displaced = is_displaced || Pin::new(&mut displaced).poll(cx).is_ready();
+            // Only the poll of the connection can make a request of what has arrived.
+            if is_displaced && self.has_no_request() {
+                return Poll::Ready(());
+            }
             if connection.as_mut().poll(cx).is_ready() {
                 return Poll::Ready(());
             }
             // Most heads arrive complete, and need no timer.
-            let Some(head) = self.current_head() else {
+            let Some(step) = self.pending_step() else {
                 timer = None;
                 return Poll::Pending;
             };
-            timer.take_if(|(timed_head, _)| *timed_head != head);
-            let (_, sleep) =
-                timer.get_or_insert_with(|| (head, Box::pin(sleep_until(Instant::now() + limit))));
-            sleep.as_mut().poll(cx)
+            timer.take_if(|timer| timer.step != step);
+            let timer = timer.get_or_insert_with(|| StepTimer::start(step, timeouts));
+            timer.poll_elapsed(&is_short, cx)
         })
         .await;
     }
+
+    /// Records whether the system has accepted a write.
+    fn record_write<T>(&self, write: &Poll<T>) {
+        if write.is_ready() {
+            self.1.written.fetch_add(1, Ordering::AcqRel);
+        }
+        self.1.blocked.store(write.is_pending(), Ordering::Release);
+    }
+}
+
+/// A step of a connection that must end within a time limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Step {
+    /// Receiving the rest of a head, which the value identifies.
+    Head(u64),
+    /// Writing more after the given number of writes.
+    Write(u64),
+}
+
+/// The timer of a step.
+#[derive(Debug)]
+struct StepTimer {
+    step: Step,
+    end: Instant,
+    sleep: Pin<Box<Sleep>>,
+}
+
+impl StepTimer {
+    fn start(step: Step, timeouts: Timeouts) -> Self {
+        let now = Instant::now();
+        let (end, wake) = match step {
+            Step::Head(_) => (now + timeouts.head, now + timeouts.head),
+            Step::Write(_) => (now + timeouts.write, now + WRITE_TIMEOUT_SHORT),
+        };
+        Self {
+            step,
+            end,
+            sleep: Box::pin(sleep_until(wake.min(end))),
+        }
+    }
+
+    /// Completes when the step has taken too long.
+    fn poll_elapsed<S>(&mut self, is_short: &S, cx: &mut Context<'_>) -> Poll<()>
+    where
+        S: Fn() -> bool,
+    {
+        loop {
+            ready!(self.sleep.as_mut().poll(cx));
+            let now = Instant::now();
+            if now >= self.end || is_short() {
+                return Poll::Ready(());
+            }
+            let wake = (now + WRITE_TIMEOUT_SHORT).min(self.end);
+            self.sleep.as_mut().reset(wake);
+        }
+    }
 }
 
 /// A TCP stream that records in [`Progress`] when bytes arrive.
@@ -137,7 +251,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let write = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.progress.record_write(&write);
+        write
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -153,7 +269,9 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let write = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.progress.record_write(&write);
+        write
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/connection/operator.rs
+++ b/src/connection/operator.rs
@@ -10,6 +10,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use tokio::net::TcpListener;
 
+use super::memory::Budget;
 use super::server::{HEAD_MAX_BYTES, Limits, Server};
 
 /// The limits of the server. Only a few tools are connected to a node at a time.
@@ -18,6 +19,7 @@
     head_timeout: Duration::from_secs(10),
     head_max_bytes: HEAD_MAX_BYTES,
     max_connections: 100,
+    displaces_bodies: false,
 };
 
 /// Provides the data that a node shows to operators.
@@ -37,6 +39,7 @@
     Server::spawn(
         listener,
         || SERVER_LIMITS,
+        Budget::unlimited(),
         move |request| {
             let handler = Arc::clone(&handler);
             async move { serve(request, &*handler).await }
--- a/tests/server.rs
+++ b/tests/server.rs
@@ -7,6 +7,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use redwinggrade::connection::head::Place;
+use redwinggrade::connection::memory::Budget;
 use redwinggrade::connection::server::{HEAD_MAX_BYTES, Limits, Server};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -21,13 +22,15 @@
         head_timeout: Duration::from_secs(30),
         head_max_bytes: HEAD_MAX_BYTES,
         max_connections: MAX_CONNECTIONS,
+        displaces_bodies: false,
     };
     let listener = TcpListener::bind("127.0.0.1:0").await;
     let handler = async |request: Request<Incoming>| {
         let place = request.extensions().get::<Place>();
         Response::new(Full::new(Bytes::from(format!("{place:?}"))))
     };
-    Server::spawn(listener.expect("a port is free"), move || limits, handler)
+    let listener = listener.expect("a port is free");
+    Server::spawn(listener, move || limits, Budget::unlimited(), handler)
         .expect("the server starts")
 }
 
