--- a/review/standins/node.rs
+++ b/review/standins/node.rs
@@ -118,6 +118,9 @@
             ("limits.cpu_cores", "1".to_owned()),
             ("bounds.retry_budget_ratio", "0.2".to_owned()),
             ("bounds.retry_budget_slack", "58".to_owned()),
+            ("bounds.quota_window_s", "5".to_owned()),
+            ("bounds.quota_overshoot", "0.1".to_owned()),
+            ("bounds.quota_slack", "20".to_owned()),
         ];
         let mut settings = std::fs::read_to_string("deploy/settings.yaml")?;
         for (field, value) in values {
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -32,6 +32,7 @@
 use crate::connection::keyspace::{Keyspace, Revision};
 use crate::connection::mirror::Update;
 use crate::connection::outbound::{Call, Pool, Protocol};
+use crate::quota::{self, Quotas};
 use crate::request::admission::Admission;
 use crate::request::latency::LatencyEstimator;
 use crate::time::{Clock, Moment};
@@ -59,6 +60,8 @@
     pub seeds: Vec<SocketAddr>,
     /// The bound on hedges and retries, over all nodes.
     pub extra_request_bound: Bound,
+    /// The bound on the requests of each tenant, over all nodes.
+    pub quota_bound: quota::Bound,
     /// How long a planned stop may take before the platform kills the process.
     pub grace_period: Duration,
     /// The interval at which targets write to the store.
@@ -119,6 +122,7 @@
     pool: Pool,
     roster: Mutex<Roster>,
     mirrors: Mutex<Vec<Mirror>>,
+    quotas: Mutex<Quotas>,
     latency_estimates: Mutex<HashMap<Arc<str>, Estimate>>,
     /// The admission control of queries over all shards, keyed by the first shard of their destination.
     admissions: Mutex<HashMap<Arc<str>, Admission>>,
@@ -253,6 +257,12 @@
             pool: Pool::new(clock),
             roster: Mutex::default(),
             mirrors: Mutex::new(mirrors.collect()),
+            quotas: Mutex::new(Quotas::open(
+                config.quota_bound,
+                config.seeds.len(),
+                rand::rng().random(),
+                clock.now(),
+            )),
             latency_estimates: Mutex::default(),
             admissions: Mutex::default(),
             fresh_until: AtomicU64::new(0),
@@ -338,8 +348,14 @@
         self.shared.meters.render(rate_limited_lines)
     }
 
-    /// Applies a new bound on extra requests and a new grace period for planned stops.
-    pub fn reconfigure(&self, extra_request_bound: Bound, grace_period: Duration) {
+    /// Applies new bounds on extra requests and on the requests of tenants, and a new grace period for planned stops.
+    pub fn reconfigure(
+        &self,
+        extra_request_bound: Bound,
+        quota_bound: quota::Bound,
+        grace_period: Duration,
+    ) {
+        self.shared.quotas().set_bound(quota_bound);
         self.shared
             .placement()
             .budget
@@ -409,6 +425,10 @@
         lock(&self.placement)
     }
 
+    fn quotas(&self) -> MutexGuard<'_, Quotas> {
+        lock(&self.quotas)
+    }
+
     fn lag(&self) -> MutexGuard<'_, Lag> {
         lock(&self.lag)
     }
--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -44,6 +44,8 @@
 /// The rounds of heartbeats after which a node that is elected to serve callers lists the store without waiting
 /// for its turn. Before, it may be elected only because it does not know the other nodes yet.
 const STARTUP_ROUNDS: u32 = 2;
+/// The usage of quotas is metered once in this number of rounds, which is every 6 s.
+const QUOTA_USAGE_ROUNDS: u32 = 20;
 /// Heartbeats go to seed hosts without a known node once in this number of rounds.
 const SEED_INTERVAL_ROUNDS: u32 = 3;
 
@@ -216,7 +218,10 @@
                 return Err("a task that follows the store has panicked".into());
             }
             Message::Store(notification) => state.handle_notification(notification, &myself),
-            Message::Heartbeat(heartbeat, _reports) => state.handle_heartbeat(heartbeat, &myself),
+            Message::Heartbeat(heartbeat, reports) => {
+                state.record_reports(&heartbeat.node.name, &reports);
+                state.handle_heartbeat(heartbeat, &myself);
+            }
             Message::PeerUpdate {
                 requested_at,
                 update,
@@ -545,6 +550,34 @@
         placement.pacing.set_serving(self.membership.serves);
     }
 
+    /// Divides the quotas of tenants among the serving nodes, and meters how much of them is used.
+    fn share_quotas(&self, now: Moment) {
+        let others_known = self.shared.roster().nodes().count();
+        let serving = self.membership.serving_nodes.iter().map(String::as_str);
+        let mut quotas = self.shared.quotas();
+        let standing = quotas.set_nodes(serving, self.membership.serves, others_known, now);
+        if self.rounds.is_multiple_of(QUOTA_USAGE_ROUNDS) {
+            for usage in quotas.take_usage() {
+                self.shared.meters.quota_usage.observe(usage);
+            }
+        }
+        if let Some(standing) = standing.filter(|_| quotas.bucket_count() > 0) {
+            log::info!(
+                standing:% = standing, serving = self.membership.serving_nodes.len();
+                "way of dividing quotas among nodes changed"
+            );
+        }
+    }
+
+    /// Records what another node reports beside its heartbeat.
+    fn record_reports(&self, node: &str, reports: &Reports) {
+        let own = &self.shared.config.node.name;
+        if node != own {
+            let now = self.shared.clock.now();
+            self.shared.quotas().record(node, &reports.demands, now);
+        }
+    }
+
     /// Records a heartbeat. A newer revision than this node's makes it fetch the changes. An equal one from a
     /// node with a confirmed state confirms this node's state too, if it does not watch the store itself.
     fn handle_heartbeat(&mut self, heartbeat: Heartbeat, myself: &ActorRef<Message>) {
@@ -624,7 +657,9 @@
                     && *seed != own
                     && !roster.knows_address(*seed)
             });
-        let reports = Reports::default();
+        let reports = Reports {
+            demands: self.shared.quotas().report(now),
+        };
         self.socket
             .send(&heartbeat, &reports, known.iter().copied().chain(seeds));
     }
@@ -638,6 +673,7 @@
         self.update_follower();
         self.update_membership(now);
         self.share_bounds(now);
+        self.share_quotas(now);
         self.send_heartbeats(self.rounds);
         self.shared.roster().expire(now);
         self.shared.pool.close_unusable(now);
--- a/src/process/entry/report.rs
+++ b/src/process/entry/report.rs
@@ -100,6 +100,11 @@
                 retry_after = Some(millis_rounded(*after));
                 ("refused", reason.to_string())
             }
+            Verdict::Throttled { retry_after: after } => {
+                retry_after = Some(millis_rounded(*after));
+                self.shared.meters.throttled_requests.inc();
+                ("refused", "quota".to_owned())
+            }
             Verdict::OutcomeUnknown(reason) => ("unknown", reason.to_string()),
             Verdict::Expired => ("expired", String::new()),
             Verdict::Invalid(invalid) => ("invalid", invalid.to_string()),
--- a/src/process/entry/serve.rs
+++ b/src/process/entry/serve.rs
@@ -16,6 +16,7 @@
 use crate::connection::outbound::{Call, Endpoint, Protocol, RateLimit};
 use crate::process::placement::{LimitChange, Observation, Stats};
 use crate::process::registry::TargetKey;
+use crate::quota::{Limit, Throttled};
 use crate::request::fanout::{
     Action, Event, Fanout, Plan, REPLY_MARGIN, REPLY_MARGIN_OPEN_CONNECTION,
 };
@@ -90,8 +91,20 @@
         if deadline <= now {
             return refused(Reason::ReadLate);
         }
+        let tenant = tenant_limit(&request);
+        if let Some((tenant, limit)) = tenant
+            && let Err(Throttled { retry_after }) = shared.quotas().admit(tenant, limit, now)
+        {
+            return Verdict::Throttled { retry_after };
+        }
+        let refund = || {
+            if let Some((tenant, _)) = tenant {
+                shared.quotas().refund(tenant);
+            }
+        };
         let (admitted, strained) = shared.admit(&route, now);
         if !admitted {
+            refund();
             return Verdict::Refused {
                 reason: Reason::Overload,
                 retry_after: rand::rng().random_range(RETRY_AFTER_OVERLOAD),
@@ -116,10 +129,20 @@
                 Place::Later => REPLY_MARGIN_OPEN_CONNECTION,
             },
         };
-        run_fanout(Arc::clone(shared), plan, request.call, report).await
+        let verdict = run_fanout(Arc::clone(shared), plan, request.call.clone(), report).await;
+        if matches!(verdict, Verdict::Refused { .. }) {
+            refund();
+        }
+        verdict
     }
 }
 
+/// Returns the tenant that sent a request and its limit, if it has one.
+const fn tenant_limit(_request: &IncomingRequest) -> Option<(&Arc<str>, Limit)> {
+    // The tenant of the request's key, as found in the route table, belongs here.
+    None
+}
+
 /// Returns the services to which a request of the route is sent: all shards, or one backend drawn by weight.
 fn select_services(route: &Route) -> Vec<Arc<str>> {
     match &route.destination {
--- a/src/process/meters.rs
+++ b/src/process/meters.rs
@@ -76,6 +76,10 @@
     pub targets: Gauge,
     /// Targets that state a limit on their requests.
     pub limited_targets: Gauge,
+    /// Requests refused because their tenant had spent its quota.
+    pub throttled_requests: Counter,
+    /// The share of this node's part of a quota that the tenant's requests took, for each tenant with requests.
+    pub quota_usage: Histogram,
     /// Other nodes whose heartbeats arrived lately.
     pub nodes: Gauge,
     /// Requests that are being served.
@@ -108,6 +112,8 @@
             store_up: Gauge::default(),
             targets: Gauge::default(),
             limited_targets: Gauge::default(),
+            throttled_requests: Counter::default(),
+            quota_usage: Histogram::new([0.1, 0.25, 0.5, 0.75, 0.9, 1.0, 1.25, 1.5, 2.0, 4.0]),
             nodes: Gauge::default(),
             running_requests: Gauge::default(),
             request_time: latency_histogram(),
@@ -177,6 +183,16 @@
             "Targets that state a limit on their requests",
             self.limited_targets.clone(),
         );
+        registry.register(
+            "throttled_requests",
+            "Requests refused because their tenant had spent its quota",
+            self.throttled_requests.clone(),
+        );
+        registry.register(
+            "quota_usage_ratio",
+            "Share of this node's part of a tenant's quota that its requests took",
+            self.quota_usage.clone(),
+        );
         registry.register("nodes", "Other nodes heard lately", self.nodes.clone());
         registry.register(
             "running_requests",
--- /dev/null
+++ b/src/quota/bucket.rs
@@ -0,0 +1,191 @@
+//! The token bucket of one tenant at one node.
+
+use std::time::Duration;
+
+use rand::Rng;
+
+use super::Limit;
+use crate::time::Moment;
+
+/// The time over which demand is smoothed.
+const DEMAND_PERIOD: Duration = Duration::from_secs(1);
+/// The longest time for which tokens are promised to refused callers one after the other. Callers that are told to come
+/// back later than that rarely do, and their slots would delay all that follow.
+const PROMISES_MAX: Duration = Duration::from_secs(4);
+/// The time of the first retry at the earliest, so that a caller does not come back before its demand is announced.
+const RETRY_AFTER_MIN: Duration = Duration::from_millis(50);
+/// The longest time that a refused caller is told to wait.
+const RETRY_AFTER_MAX: Duration = Duration::from_mins(1);
+
+/// A node's part of the quota of one tenant.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Part {
+    /// Tokens per second.
+    pub(super) per_second: f64,
+    /// The part of the burst, in tokens; a bucket holds at least one all the same.
+    pub(super) capacity: f64,
+    /// Whether the tenant sends more than its quota to all nodes together.
+    pub(super) is_over_quota: bool,
+    /// The window of the bound.
+    pub(super) window: Duration,
+}
+
+impl Part {
+    /// Returns the most tokens that the bucket holds. Less than one would never admit a request.
+    const fn tokens_max(self) -> f64 {
+        self.capacity.max(1.0)
+    }
+}
+
+/// The token bucket of one tenant at one node.
+#[derive(Debug)]
+pub(super) struct Bucket {
+    tenant: u32,
+    limit: Limit,
+    tokens: f64,
+    tokens_max: f64,
+    is_over_quota: bool,
+    refilled_at: Moment,
+    /// The smoothed demand in requests per second, as of `demand_at`.
+    demand: f64,
+    demand_at: Moment,
+    /// When the token is due that the last refused caller was told to wait for.
+    promised_until: Moment,
+    /// The requests admitted and the tokens that the part has given, since the last call of
+    /// [`take_usage`](Self::take_usage).
+    admitted: u32,
+    given: f64,
+}
+
+impl Bucket {
+    /// Creates the bucket of a tenant for a process that has run for `uptime`.
+    ///
+    /// A process starts with half of a full bucket, because the previous process may have spent a whole one, and the
+    /// other half comes in at the node's rate.
+    pub(super) fn open(
+        tenant: u32,
+        limit: Limit,
+        part: Part,
+        uptime: Duration,
+        now: Moment,
+    ) -> Self {
+        let full = part.tokens_max();
+        let tokens = if uptime < part.window {
+            (full / 2.0 + part.per_second * uptime.as_secs_f64()).clamp(1.0, full)
+        } else {
+            full
+        };
+        Self {
+            tenant,
+            limit,
+            tokens,
+            tokens_max: full,
+            is_over_quota: false,
+            refilled_at: now,
+            demand: 0.0,
+            demand_at: now,
+            promised_until: now,
+            admitted: 0,
+            given: 0.0,
+        }
+    }
+
+    pub(super) const fn tenant(&self) -> u32 {
+        self.tenant
+    }
+
+    pub(super) const fn limit(&self) -> Limit {
+        self.limit
+    }
+
+    /// Returns when the last request came.
+    pub(super) const fn last_request(&self) -> Moment {
+        self.demand_at
+    }
+
+    /// Adds the tokens of the time since the last call, under the part and the limit that hold now.
+    pub(super) fn refill<R>(&mut self, limit: Limit, part: Part, now: Moment, random: &mut R)
+    where
+        R: Rng,
+    {
+        let full = part.tokens_max();
+        if limit != self.limit {
+            // Tokens of a higher limit must not be spent under a lower one.
+            let scale = (full / self.tokens_max).min(1.0);
+            self.tokens *= scale;
+            self.limit = limit;
+        }
+        self.tokens_max = full;
+        let given = part.per_second * now.since(self.refilled_at).as_secs_f64();
+        self.given += given;
+        self.tokens = (self.tokens + given).min(full);
+        self.refilled_at = self.refilled_at.max(now);
+        if part.is_over_quota && !self.is_over_quota {
+            // The least token of each node is for tenants below their quota, whose callers may come to any node. With
+            // all of them together, a tenant above its quota would get a second burst.
+            let kept = part.capacity.max(random.random::<f64>());
+            self.tokens = self.tokens.min(kept);
+        }
+        self.is_over_quota = part.is_over_quota;
+    }
+
+    /// Counts a request of the tenant, admitted or not.
+    pub(super) fn count_demand(&mut self, now: Moment) {
+        self.demand = self.demand(now) + 1.0 / DEMAND_PERIOD.as_secs_f64();
+        self.demand_at = now;
+    }
+
+    /// Returns the smoothed demand in requests per second.
+    pub(super) fn demand(&self, now: Moment) -> f64 {
+        let periods = now.since(self.demand_at).as_secs_f64() / DEMAND_PERIOD.as_secs_f64();
+        self.demand * (-periods).exp()
+    }
+
+    /// Takes a token if there is one.
+    pub(super) fn try_withdraw(&mut self) -> bool {
+        // Without the tolerance, a rounding error could refuse a caller that comes back exactly when it was told to.
+        if self.tokens < 1.0 - 1e-6 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        self.admitted += 1;
+        true
+    }
+
+    /// Puts back the token of a request that has not run.
+    pub(super) const fn refund(&mut self) {
+        self.tokens = (self.tokens + 1.0).min(self.tokens_max);
+        self.admitted = self.admitted.saturating_sub(1);
+    }
+
+    /// Returns how long a refused caller should wait for its token, behind those refused before it.
+    pub(super) fn promise<R>(&mut self, per_second: f64, now: Moment, random: &mut R) -> Duration
+    where
+        R: Rng,
+    {
+        let interval = Duration::try_from_secs_f64(1.0 / per_second)
+            .unwrap_or(RETRY_AFTER_MAX)
+            .min(RETRY_AFTER_MAX);
+        let first = now + interval.mul_f64((1.0 - self.tokens).clamp(0.0, 1.0));
+        let slot = first.max(self.promised_until + interval);
+        let wait = now.until(slot);
+        if wait > PROMISES_MAX.max(interval) {
+            let latest = 2 * PROMISES_MAX.max(interval);
+            return random.random_range(latest / 2..latest).min(RETRY_AFTER_MAX);
+        }
+        self.promised_until = slot;
+        wait.max(RETRY_AFTER_MIN)
+    }
+
+    /// Tells whether the bucket is full and has had no request for a time.
+    pub(super) fn is_idle(&self, now: Moment, expiry: Duration) -> bool {
+        self.tokens >= self.tokens_max && now.since(self.demand_at) >= expiry
+    }
+
+    /// Returns the share of the tokens given since the last call that requests have taken; `None` without requests.
+    pub(super) fn take_usage(&mut self) -> Option<f64> {
+        let (admitted, given) = (self.admitted, self.given);
+        (self.admitted, self.given) = (0, 0.0);
+        (admitted > 0).then(|| f64::from(admitted) / given.max(f64::MIN_POSITIVE))
+    }
+}
--- a/src/request/reply.rs
+++ b/src/request/reply.rs
@@ -90,6 +90,11 @@
         /// The time after which the caller should try again.
         retry_after: Duration,
     },
+    /// The request exceeds the quota of its tenant. No target has run it or will run it.
+    Throttled {
+        /// The time after which the caller should try again.
+        retry_after: Duration,
+    },
     /// A target may have run the request, and the caller gets no answer, for this reason.
     OutcomeUnknown(Reason),
     /// The deadline passed; a target may have run the request.
--- a/tests/entry_failure.rs
+++ b/tests/entry_failure.rs
@@ -14,6 +14,7 @@
 use redwinggrade::connection::outbound::{Call, CallResult, Endpoint, Protocol};
 use redwinggrade::process::budget::Bound;
 use redwinggrade::process::entry::{Config, Entry, Platform};
+use redwinggrade::quota;
 use redwinggrade::version::item::{Codec, Item, ItemKind, Node};
 use redwinggrade::wire::Incarnation;
 
@@ -112,6 +113,7 @@
             ratio: 0.2,
             slack: 58.0,
         },
+        quota_bound: quota::Bound::default(),
         grace_period: Duration::from_secs(6),
         target_heartbeat: Duration::from_secs(1),
     };
