Let nodes lend each other the unused tokens of a tenant

Reports now carry the requests that a node has admitted, and a node with an empty bucket borrows from what all have together.

--- a/src/quota/bucket.rs
+++ b/src/quota/bucket.rs
@@ -20,10 +20,20 @@
 /// A node's part of the quota of one tenant.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Part {
+    /// The share of the quota.
+    pub(super) share: f64,
     /// Tokens per second.
     pub(super) per_second: f64,
     /// The part of the burst, in tokens; a bucket holds at least one all the same.
     pub(super) capacity: f64,
+    /// Tokens per second that all nodes which hear each other get together; zero if this node may not borrow.
+    pub(super) common_per_second: f64,
+    /// The most tokens that all nodes have together.
+    pub(super) common_capacity: f64,
+    /// The part of the common tokens that a node may borrow between two reports whatever its demand, in tokens.
+    pub(super) loans_min: f64,
+    /// The demand at the other nodes, in requests per second.
+    pub(super) demand_elsewhere: f64,
     /// Whether the tenant sends more than its quota to all nodes together.
     pub(super) is_over_quota: bool,
     /// The window of the bound.
@@ -44,6 +54,11 @@
     limit: Limit,
     tokens: f64,
     tokens_max: f64,
+    /// The tokens that all nodes have together, as far as this node knows: what they have admitted is subtracted when
+    /// they report it. Negative after more was admitted than this node knew.
+    common: f64,
+    /// The tokens that this node may still borrow from the common ones before its next report.
+    loans: f64,
     is_over_quota: bool,
     refilled_at: Moment,
     /// The smoothed demand in requests per second, as of `demand_at`.
@@ -51,6 +66,10 @@
     demand_at: Moment,
     /// When the token is due that the last refused caller was told to wait for.
     promised_until: Moment,
+    /// The number of admitted requests that is reported, and the admitted ones that have not run and are not
+    /// subtracted from it yet.
+    admitted_count: u16,
+    refunds: u16,
     /// The requests admitted and the tokens that the part has given, since the last call of
     /// [`take_usage`](Self::take_usage).
     admitted: u32,
@@ -75,16 +94,28 @@
         } else {
             full
         };
+        // The other nodes have admitted at most what they were asked for in the last second, and tokens for what they
+        // admitted before have come in if the tenant is below its quota.
+        let common = if uptime < part.window {
+            0.0
+        } else {
+            let spent = part.demand_elsewhere * DEMAND_PERIOD.as_secs_f64();
+            (part.common_capacity - spent).max(0.0)
+        };
         Self {
             tenant,
             limit,
             tokens,
             tokens_max: full,
+            common,
+            loans: part.loans_min,
             is_over_quota: false,
             refilled_at: now,
             demand: 0.0,
             demand_at: now,
             promised_until: now,
+            admitted_count: 0,
+            refunds: 0,
             admitted: 0,
             given: 0.0,
         }
@@ -119,6 +150,8 @@
         let given = part.per_second * now.since(self.refilled_at).as_secs_f64();
         self.given += given;
         self.tokens = (self.tokens + given).min(full);
+        let given = part.common_per_second * now.since(self.refilled_at).as_secs_f64();
+        self.common = (self.common + given).min(part.common_capacity.max(1.0));
         self.refilled_at = self.refilled_at.max(now);
         if part.is_over_quota && !self.is_over_quota {
             // The least token of each node is for tenants below their quota, whose callers may come to any node. With
@@ -148,14 +181,55 @@
             return false;
         }
         self.tokens -= 1.0;
-        self.admitted += 1;
+        self.count_admitted();
+        true
+    }
+
+    /// Takes one of the tokens that other nodes have, if they do not need all of them.
+    ///
+    /// A tenant below its quota leaves tokens at nodes that its callers do not use just now. Until the others know of
+    /// a loan they may spend the same token, so each node borrows no more than its share between two reports.
+    pub(super) fn try_borrow(&mut self, part: Part) -> bool {
+        if part.common_per_second <= 0.0 || self.common < 1.0 || self.loans < 1.0 {
+            return false;
+        }
+        self.loans -= 1.0;
+        self.count_admitted();
         true
     }
 
+    /// Sets how many tokens this node may borrow until its next report: its share of the common ones, as far as its own
+    /// bucket does not hold them.
+    pub(super) const fn allow_loans(&mut self, part: Part) {
+        self.loans = (self.common * part.share - self.tokens).max(part.loans_min);
+    }
+
+    /// Subtracts the requests that another node has admitted.
+    pub(super) fn spend_elsewhere(&mut self, admitted: u16) {
+        self.common -= f64::from(admitted);
+    }
+
+    /// Returns the number of admitted requests that is reported.
+    pub(super) const fn admitted_count(&self) -> u16 {
+        self.admitted_count
+    }
+
+    const fn count_admitted(&mut self) {
+        self.common -= 1.0;
+        self.admitted += 1;
+        if self.refunds > 0 {
+            self.refunds -= 1;
+        } else {
+            self.admitted_count = self.admitted_count.wrapping_add(1);
+        }
+    }
+
     /// Puts back the token of a request that has not run.
     pub(super) const fn refund(&mut self) {
         self.tokens = (self.tokens + 1.0).min(self.tokens_max);
+        self.common += 1.0;
         self.admitted = self.admitted.saturating_sub(1);
+        self.refunds = self.refunds.saturating_add(1);
     }
 
     /// Returns how long a refused caller should wait for its token, behind those refused before it.
--- a/src/quota/mod.rs
+++ b/src/quota/mod.rs
@@ -55,25 +55,32 @@
 
 /// The demand of one tenant at one node, as the node tells the others.
 ///
-/// It is encoded as a list of its two numbers, in 11 bytes.
+/// It is encoded as a list of its three numbers, in 14 bytes at most.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-#[serde(from = "(u32, f32)", into = "(u32, f32)")]
+#[serde(from = "(u32, f32, u16)", into = "(u32, f32, u16)")]
 pub struct Demand {
     /// The hash of the tenant's name.
     pub tenant: u32,
     /// Requests per second that the tenant's callers send to the node, refused ones included.
     pub per_second: f32,
+    /// The number of the tenant's requests that the node has admitted; it wraps around, and a new process starts at
+    /// zero. A sum since the start tells all after a lost datagram.
+    pub admitted: u16,
 }
 
-impl From<(u32, f32)> for Demand {
-    fn from((tenant, per_second): (u32, f32)) -> Self {
-        Self { tenant, per_second }
+impl From<(u32, f32, u16)> for Demand {
+    fn from((tenant, per_second, admitted): (u32, f32, u16)) -> Self {
+        Self {
+            tenant,
+            per_second,
+            admitted,
+        }
     }
 }
 
-impl From<Demand> for (u32, f32) {
+impl From<Demand> for (u32, f32, u16) {
     fn from(demand: Demand) -> Self {
-        (demand.tenant, demand.per_second)
+        (demand.tenant, demand.per_second, demand.admitted)
     }
 }
 
@@ -84,8 +91,9 @@
     pub retry_after: Duration,
 }
 
-/// Maximum number of tenants in a report. Together they take 355 of the 400 bytes that quotas have in a datagram.
-pub const REPORTED_TENANTS_MAX: usize = 32;
+/// Maximum number of tenants in a report. Together they take at most 398 of the 400 bytes that quotas have in a
+/// datagram.
+pub const REPORTED_TENANTS_MAX: usize = 28;
 /// Announced demand below this many requests per second counts as none. A single request falls below it after 4 s.
 const DEMAND_MIN: f64 = 0.02;
 /// The share of the overshoot by which the divided rate exceeds the quota. It makes up for the small parts that nodes
@@ -97,8 +105,10 @@
 /// The share of the rate that is divided evenly, so that a node whose demand is not announced yet has some part.
 const EVEN_SHARE: f64 = 0.05;
 /// A tenant whose demand exceeds its rate by more than this many requests per second counts as over its quota. One
-/// request raises the smoothed demand by 1, and two or three that come together do not show more demand than usual.
-const OVER_QUOTA_MARGIN: f64 = 2.0;
+/// request raises the smoothed demand by 1, and three that come together do not show more demand than usual.
+const OVER_QUOTA_MARGIN: f64 = 3.0;
+/// The tokens that all nodes together may borrow between two reports beside what their demand allows.
+const LOANS_EVEN: f64 = 12.0;
 /// How long a full bucket is kept without requests.
 const BUCKET_EXPIRY: Duration = Duration::from_secs(30);
 /// Maximum number of buckets; a settings document with more tenants shares the memory of those asked last.
@@ -150,7 +160,7 @@
         };
         bucket.refill(limit, part, now, &mut self.random);
         bucket.count_demand(now);
-        if bucket.try_withdraw() {
+        if bucket.try_withdraw() || bucket.try_borrow(part) {
             return Ok(());
         }
         // The share that the others will grant once they know of this demand.
@@ -186,6 +196,7 @@
                     Demand {
                         tenant: bucket.tenant(),
                         per_second: own as f32,
+                        admitted: bucket.admitted_count(),
                     },
                 ))
             })
@@ -202,6 +213,13 @@
             .iter()
             .map(|demand| (demand.tenant, f64::from(demand.per_second)))
             .collect();
+        let mut buckets = std::mem::take(&mut self.buckets);
+        for bucket in buckets.values_mut() {
+            let tenant = bucket.tenant();
+            let part = self.part(tenant, bucket.limit(), self.announced(tenant), now);
+            bucket.allow_loans(part);
+        }
+        self.buckets = buckets;
         demands
     }
 
@@ -213,7 +231,12 @@
             .chain(demands.iter().map(|demand| demand.tenant))
             .collect();
         self.refill(|tenant| affected.contains(&tenant), now);
-        self.nodes.record(node, demands, now);
+        let admitted = self.nodes.record(node, demands, now);
+        for bucket in self.buckets.values_mut() {
+            if let Some(&admitted) = admitted.get(&bucket.tenant()) {
+                bucket.spend_elsewhere(admitted);
+            }
+        }
     }
 
     /// Sets which other nodes serve callers and whether this one does. `others_known` is the number of all other nodes
@@ -273,8 +296,13 @@
         let (share, total) = self.nodes.share(tenant, own, even, now);
         let rate = limit.per_second * (1.0 + OVERSHOOT_RATE_SHARE * self.bound.overshoot);
         Part {
+            share,
             per_second: rate * share,
             capacity: share * (limit.burst + SLACK_BURST_SHARE * self.bound.slack),
+            common_per_second: limit.per_second * self.nodes.heard_share(now),
+            common_capacity: limit.burst + SLACK_BURST_SHARE * self.bound.slack,
+            loans_min: (LOANS_EVEN / self.nodes.member_count()).max(1.0),
+            demand_elsewhere: total - own,
             is_over_quota: total > limit.per_second + OVER_QUOTA_MARGIN,
             window: self.bound.window,
         }
--- a/src/quota/nodes.rs
+++ b/src/quota/nodes.rs
@@ -22,6 +22,9 @@
 /// The part of an even share that a node uses while it does not serve callers. Only a few requests reach such nodes.
 const STANDBY_SHARE: f64 = 0.1;
 
+/// Maximum number of tenants whose counts are kept for each node; beyond it, they start anew.
+const COUNTS_MAX: usize = 2_048;
+
 /// How a node divides quotas.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum Standing {
@@ -51,6 +54,8 @@
 struct Heard {
     at: Moment,
     demands: HashMap<u32, f64>,
+    /// The last count of admitted requests of each tenant.
+    counts: HashMap<u32, u16>,
 }
 
 /// The nodes among which quotas are divided.
@@ -90,16 +95,48 @@
         }
     }
 
-    /// Records that a node was heard, and its demands.
-    pub(super) fn record(&mut self, node: &str, demands: &[Demand], now: Moment) {
+    /// Records that a node was heard, and its demands. Returns how many requests of each tenant it has admitted since
+    /// its last report of the tenant.
+    pub(super) fn record(
+        &mut self,
+        node: &str,
+        demands: &[Demand],
+        now: Moment,
+    ) -> HashMap<u32, u16> {
+        let mut counts = self
+            .heard
+            .remove(node)
+            .map(|it| it.counts)
+            .unwrap_or_default();
+        if counts.len() > COUNTS_MAX {
+            counts.clear();
+        }
+        let admitted = demands
+            .iter()
+            .map(|demand| {
+                // After a start of either process, the requests of about the last second count.
+                let recent = (demand.per_second.ceil() as u16).min(demand.admitted);
+                let previous = counts.insert(demand.tenant, demand.admitted);
+                let since = previous.map(|previous| demand.admitted.wrapping_sub(previous));
+                let is_continued = since.filter(|since| *since < u16::MAX / 2);
+                (demand.tenant, is_continued.unwrap_or(recent))
+            })
+            .collect();
         let demands = demands
             .iter()
             .map(|demand| (demand.tenant, f64::from(demand.per_second)))
             .filter(|(_, per_second)| per_second.is_finite() && *per_second > 0.0)
             .collect();
-        self.heard
-            .insert(node.to_owned(), Heard { at: now, demands });
+        self.heard.insert(
+            node.to_owned(),
+            Heard {
+                at: now,
+                demands,
+                counts,
+            },
+        );
         self.sum_demands();
+        admitted
     }
 
     /// Returns the tenants in the last report of a node.
@@ -205,8 +242,17 @@
         (share, total)
     }
 
+    /// Returns the share of the quotas that the nodes have together which this one hears; zero without a majority.
+    pub(super) fn heard_share(&self, now: Moment) -> f64 {
+        if self.standing == Standing::Majority && now.since(self.now) < HEARD_PERIOD {
+            (self.heard_members as f64 + 1.0) / self.member_count()
+        } else {
+            0.0
+        }
+    }
+
     /// Returns the number of nodes that divide quotas, this one included.
-    fn member_count(&self) -> f64 {
+    pub(super) fn member_count(&self) -> f64 {
         let members = self.members.len() + 1;
         let expected = if self.has_heard {
             1
