--- a/src/process/entry/serve.rs
+++ b/src/process/entry/serve.rs
@@ -16,10 +16,12 @@
 use crate::connection::outbound::{Call, Endpoint, Protocol, RateLimit};
 use crate::process::placement::{LimitChange, Observation, Stats};
 use crate::process::registry::TargetKey;
+use crate::quota::{Limit, Throttled};
 use crate::request::fanout::{
     Action, Event, Fanout, Plan, REPLY_MARGIN, REPLY_MARGIN_OPEN_CONNECTION,
 };
 use crate::request::reply::{FailureCause, Invalid, Outcome, Reason, Verdict};
+use crate::tenancy::Sender;
 use crate::time::Moment;
 use crate::version::route::{Destination, Kind, Route};
 use crate::wire;
@@ -91,7 +93,7 @@
             };
         };
         report.tenant = sender.tenant().cloned();
-        request.call.sender = sender;
+        request.call.sender = sender.clone();
         let timeout = request.caller_timeout.map_or(route.timeout, |timeout| {
             timeout.saturating_sub(REPLY_TRANSIT_TIME)
         });
@@ -99,8 +101,20 @@
         if deadline <= now {
             return refused(Reason::ReadLate);
         }
+        let tenant = tenant_limit(&sender);
+        if let Some((tenant, limit)) = tenant
+            && let Err(Throttled { retry_after }) = shared.quotas().admit(tenant, limit, now)
+        {
+            return Verdict::Throttled { retry_after };
+        }
+        let refund = || {
+            if let Some((tenant, _)) = tenant {
+                shared.quotas().refund(tenant);
+            }
+        };
         let (admitted, strained) = shared.admit(&route, now);
         if !admitted {
+            refund();
             return Verdict::Refused {
                 reason: Reason::Overload,
                 retry_after: rand::rng().random_range(RETRY_AFTER_OVERLOAD),
@@ -125,10 +139,20 @@
                 Place::Later => REPLY_MARGIN_OPEN_CONNECTION,
             },
         };
-        run_fanout(Arc::clone(shared), plan, request.call, report).await
+        let verdict = run_fanout(Arc::clone(shared), plan, request.call, report).await;
+        if matches!(verdict, Verdict::Refused { .. }) {
+            refund();
+        }
+        verdict
     }
 }
 
+/// Returns the tenant that sent a request and its limit, if it has one.
+fn tenant_limit(sender: &Sender) -> Option<(&Arc<str>, Limit)> {
+    let tenant = sender.tenant()?;
+    Some((&tenant.name, tenant.limit?))
+}
+
 /// Returns the services to which a request of the route is sent: all shards, or one backend drawn by weight.
 fn select_services(route: &Route) -> Vec<Arc<str>> {
     match &route.destination {
