--- a/tests/server.rs
+++ b/tests/server.rs
@@ -9,6 +9,7 @@
 use redwinggrade::connection::head::Place;
 use redwinggrade::connection::memory::{Budget, hold};
 use redwinggrade::connection::server::{HEAD_MAX_BYTES, Limits, Server};
+use redwinggrade::time::Clock;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
@@ -51,6 +52,21 @@
     answer.lines().last().unwrap_or_default().to_owned()
 }
 
+/// Opens connections until the server answers a request on one, and returns that one.
+async fn connect_until_answered(server: &Server) -> TcpStream {
+    loop {
+        let stream = TcpStream::connect(server.address()).await;
+        let mut stream = stream.expect("the system accepts");
+        let request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+        let mut first = [0; 1];
+        if stream.write_all(request.as_bytes()).await.is_ok()
+            && stream.read(&mut first).await.is_ok_and(|length| length > 0)
+        {
+            return stream;
+        }
+    }
+}
+
 /// Guards against a reply margin for a handshake that the caller has not waited for, or the reverse.
 #[tokio::test]
 async fn tells_first_request_of_connection_from_later_ones() {
@@ -97,19 +113,7 @@
     let mut used = connect().await.expect("the server accepts");
     assert_eq!(exchange(&mut used).await, "Some(First)");
     // A connection that has just been opened may still send its request.
-    let answered = async {
-        loop {
-            let mut stream = connect().await.expect("the system accepts");
-            let request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
-            let mut first = [0; 1];
-            if stream.write_all(request.as_bytes()).await.is_ok()
-                && stream.read(&mut first).await.is_ok_and(|length| length > 0)
-            {
-                return stream;
-            }
-        }
-    };
-    let _new = timeout(WAIT_TIMEOUT, answered)
+    let _new = timeout(WAIT_TIMEOUT, connect_until_answered(&server))
         .await
         .expect("the new connection is served");
     let closed = timeout(WAIT_TIMEOUT, silent[0].read(&mut [0; 1])).await;
@@ -153,3 +157,44 @@
         .await
         .expect("the answer is given up");
 }
+
+/// Guards against callers that take all connections with bodies that never end.
+#[tokio::test]
+async fn new_connection_takes_place_of_stalled_body() {
+    let memory = Budget::open(1 << 20);
+    let limits = Limits {
+        displaces_bodies: true,
+        ..LIMITS
+    };
+    let clock = Clock::start();
+    let body_memory = memory.clone();
+    let handler = move |request: Request<Incoming>| {
+        let memory = body_memory.clone();
+        async move {
+            if request.method() == hyper::Method::POST {
+                let mut body = memory.start_body(10, clock.now());
+                std::future::poll_fn(|cx| body.poll_displaced(cx)).await;
+            }
+            Response::new(Full::new(Bytes::from_static(b"done")))
+        }
+    };
+    let listener = TcpListener::bind("127.0.0.1:0").await;
+    let listener = listener.expect("a port is free");
+    let server = Server::spawn(listener, move || limits, memory.clone(), handler);
+    let server = server.expect("the server starts");
+    let mut stalled = Vec::new();
+    for _ in 0..MAX_CONNECTIONS {
+        let mut stream = TcpStream::connect(server.address())
+            .await
+            .expect("the server accepts");
+        stream
+            .write_all(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n")
+            .await
+            .expect("the server reads");
+        stalled.push(stream);
+    }
+    let _new = timeout(WAIT_TIMEOUT, connect_until_answered(&server))
+        .await
+        .expect("the new connection is served");
+    assert_eq!(memory.usage().displaced_bodies, 1);
+}
