Decide under load by urgency, tenant and kind whose queries run

Admission control limited how many queries run, and chance decided whose. So a tenant at nine times its usual rate cost all others three queries in ten, and the priorities of routes counted for nothing.

If the routes of a table differ in priority, or it has tenants, the limited rate now goes to queries within the usual rate of their tenant first, then by urgency, then to those within the usual rate of their kind. Each kind and tenant keeps a floor. With claims, the rate is also lowered at most once in 500 ms and grows by a part of the demand, because the nodes' rates fell far below what the targets could run, and to different parts of their demands. A crowded node keeps a quarter of its room for urgent requests, and refused callers return spread over what they can wait. All other deployments are decided as before.

--- a/src/overload/admission.rs
+++ b/src/overload/admission.rs
@@ -10,6 +10,8 @@
 
 use std::time::Duration;
 
+use super::retry::Returns;
+use super::share::{Claim, Share};
 use crate::time::Moment;
 
 /// Minimum length of the window over which the median is taken.
@@ -31,6 +33,13 @@
 /// Growth of a limited rate in each window that is not overloaded; about a half in one second if
 /// windows last [`WINDOW_MIN`].
 const RATE_INCREASE_FACTOR: f64 = 1.08;
+/// If queries state claims, the rate is not lowered again within this time. Queries that started before wait in the
+/// targets' queues, so that their subrequests do not show yet what the lower rate has done.
+const SETTLING_TIME: Duration = Duration::from_millis(500);
+/// Minimum growth of a limited rate in each window that is not overloaded, as a part of the demand, if queries state
+/// claims. Without it, a node whose rate had fallen to 3 queries per second kept it for the rest of a load of 15 s,
+/// while others ran 40.
+const DEMAND_INCREASE: f64 = 0.12;
 /// Minimum rate, in queries per second. Without any queries, the end of the overload could not be detected.
 const RATE_MIN_PER_SECOND: f64 = 2.0;
 /// Time without a refusal, counted from the start of the limit at the earliest, after which the rate is no
@@ -62,11 +71,21 @@
     suppresses_hedges: bool,
     /// Whether the last window was overloaded.
     overloaded: bool,
+    /// When the rate was lowered last.
+    lowered_at: Moment,
+    /// Whether queries state claims.
+    graded: bool,
+    /// Divides the limited rate among queries that state a claim.
+    share: Share,
+    /// The refused callers whose queries state a claim.
+    returns: Returns,
 }
 
 impl Admission {
     /// Creates an admission control without a limit, for queries over `shards` shards.
-    pub const fn new(now: Moment, shards: usize) -> Self {
+    ///
+    /// The seed is that of the random draws among queries that state a claim.
+    pub fn new(now: Moment, shards: usize, seed: u64) -> Self {
         Self {
             rate: None,
             tokens: 0.0,
@@ -79,6 +98,10 @@
             baseline_median: None,
             suppresses_hedges: false,
             overloaded: false,
+            lowered_at: now,
+            graded: false,
+            share: Share::new(now, seed),
+            returns: Returns::new(now, seed),
         }
     }
 
@@ -100,6 +123,7 @@
     /// Asks to start a query; returns whether it may start or must be refused.
     pub fn try_begin(&mut self, now: Moment) -> bool {
         self.close_window_if_due(now);
+        self.graded = false;
         if let Some(rate) = self.rate {
             self.tokens += now.since(self.refilled_at).as_secs_f64() * rate;
             // A burst of a tenth of a second absorbs the randomness of arrivals.
@@ -115,6 +139,26 @@
         true
     }
 
+    /// Asks to start a query of a deployment in which urgency or tenants differ; returns whether it may start or must be
+    /// refused.
+    pub fn try_begin_claim(&mut self, claim: &Claim, now: Moment) -> bool {
+        self.close_window_if_due(now);
+        self.graded = true;
+        let admitted = self.share.admit(claim, self.rate, now);
+        if admitted {
+            self.begun_in_window += 1;
+        } else {
+            self.last_refusal_or_start = now;
+        }
+        admitted
+    }
+
+    /// Returns after which time the caller of a query with a claim that was refused just now should come back.
+    pub fn return_time(&mut self, time_left: Duration, now: Moment) -> Duration {
+        let rate = self.rate.unwrap_or(RATE_MIN_PER_SECOND);
+        self.returns.refuse(rate, time_left, now)
+    }
+
     /// Records the time of a subrequest, as a multiple of the usual time of its route.
     pub fn record(&mut self, ratio: f64, now: Moment) {
         self.close_window_if_due(now);
@@ -139,7 +183,7 @@
             self.adjust_rate(median, length, now);
         } else if overdue {
             // The targets are idle, or none of them answers.
-            self.rate = self.rate.map(|rate| rate * RATE_INCREASE_FACTOR);
+            self.rate = self.rate.map(|rate| self.increased(rate, now));
         } else {
             return;
         }
@@ -166,7 +210,12 @@
         // A single overloaded window does not start the limit: a change of shards or a pause of this node
         // fills one window with slow subrequests.
         if overloaded && (was_overloaded || self.rate.is_some()) {
-            let begun_per_second = f64::from(self.begun_in_window) / length.as_secs_f64();
+            let settling = self.graded && now.since(self.lowered_at) < SETTLING_TIME;
+            if settling && self.rate.is_some() {
+                return;
+            }
+            self.lowered_at = now;
+            let begun_per_second = self.begun_per_second(length, now);
             let limit = self
                 .rate
                 .map_or(begun_per_second, |rate| rate.min(begun_per_second));
@@ -178,7 +227,34 @@
             self.rate = Some((limit * RATE_DECREASE_FACTOR).max(RATE_MIN_PER_SECOND));
         } else if let Some(rate) = self.rate {
             let lift_limit = now.since(self.last_refusal_or_start) >= UNLIMITED_AFTER;
-            self.rate = (!lift_limit).then_some(rate * RATE_INCREASE_FACTOR);
+            self.rate = (!lift_limit).then_some(self.increased(rate, now));
+        }
+    }
+
+    /// Returns the rate at which queries started in a window of this length.
+    ///
+    /// With claims, it is at least that of the last second, and at least the limit if more came than that. Few queries
+    /// start in a window, and by their number the rate would fall far below what the targets can run.
+    fn begun_per_second(&self, length: Duration, now: Moment) -> f64 {
+        let in_window = f64::from(self.begun_in_window) / length.as_secs_f64();
+        if !self.graded {
+            return in_window;
+        }
+        let offered = self.share.offered_per_second(now);
+        let limit = self.rate.filter(|rate| *rate <= offered);
+        in_window
+            .max(self.share.ran_per_second(now))
+            .max(limit.unwrap_or_default())
+    }
+
+    /// Returns a limited rate after a window that was not overloaded. With claims, it also grows by a part of the demand,
+    /// so that nodes whose rates have fallen to different parts of their demands come to the same part again.
+    fn increased(&self, rate: f64, now: Moment) -> f64 {
+        let increased = rate * RATE_INCREASE_FACTOR;
+        if self.graded {
+            increased.max(rate + self.share.offered_per_second(now) * DEMAND_INCREASE)
+        } else {
+            increased
         }
     }
 }
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -33,6 +33,7 @@
 use crate::connection::mirror::Update;
 use crate::connection::outbound::{Call, Pool, Protocol};
 use crate::overload::admission::Admission;
+use crate::overload::share::Claim;
 use crate::request::latency::LatencyEstimator;
 use crate::tenancy::Credential;
 use crate::time::{Clock, Moment};
@@ -462,18 +463,37 @@
 
     /// Asks admission control to start a request. Returns whether it is admitted, and whether its
     /// destination is too loaded for hedges.
-    fn admit(&self, route: &Route, now: Moment) -> (bool, bool) {
+    ///
+    /// A claim is given if it matters whose request is refused.
+    fn admit(&self, route: &Route, claim: Option<&Claim>, now: Moment) -> (bool, bool) {
         match &route.destination {
             Destination::OneTarget(_) => (true, false),
             Destination::AllShards(gather) if gather.shards.is_empty() => (true, false),
             Destination::AllShards(gather) => {
                 self.with_admission(&gather.shards, now, |admission| {
-                    (admission.try_begin(now), admission.suppresses_hedges())
+                    let admitted = match claim {
+                        Some(claim) => admission.try_begin_claim(claim, now),
+                        None => admission.try_begin(now),
+                    };
+                    (admitted, admission.suppresses_hedges())
                 })
             }
         }
     }
 
+    /// Returns after which time the caller of a query should come back that admission control has refused.
+    fn return_time(&self, route: &Route, time_left: Duration, now: Moment) -> Option<Duration> {
+        let Destination::AllShards(gather) = &route.destination else {
+            return None;
+        };
+        if gather.shards.is_empty() {
+            return None;
+        }
+        Some(self.with_admission(&gather.shards, now, |admission| {
+            admission.return_time(time_left, now)
+        }))
+    }
+
     /// Calls `f` with the admission control of a destination, which must have at least one shard.
     fn with_admission<F, T>(&self, shards: &[Arc<str>], now: Moment, f: F) -> T
     where
@@ -488,7 +508,7 @@
         }
         let admission = admissions
             .entry(Arc::clone(&shards[0]))
-            .or_insert_with(|| Admission::new(now, shards.len()));
+            .or_insert_with(|| Admission::new(now, shards.len(), rand::rng().random()));
         f(admission)
     }
 }
--- a/src/process/entry/serve.rs
+++ b/src/process/entry/serve.rs
@@ -14,6 +14,8 @@
 use super::{Entry, IncomingRequest, Shared};
 use crate::connection::head::Place;
 use crate::connection::outbound::{Call, Endpoint, Protocol, RateLimit};
+use crate::overload::share::Claim;
+use crate::overload::{crowd, retry};
 use crate::process::placement::{LimitChange, Observation, Stats};
 use crate::process::registry::TargetKey;
 use crate::request::fanout::{
@@ -99,11 +101,32 @@
         if deadline <= now {
             return refused(Reason::ReadLate);
         }
-        let (admitted, strained) = shared.admit(&route, now);
+        let claim = table
+            .grades_requests()
+            .then(|| Claim::new(&route, &request.call.sender));
+        if let Some(claim) = &claim {
+            let running = shared.running_requests.load(Ordering::Relaxed);
+            let (lag, draw) = (table.lag(claim.urgency), rand::rng().random());
+            if !crowd::admits(running, RUNNING_REQUESTS_MAX, lag, draw) {
+                let retry_after = retry::spread(
+                    RETRY_AFTER_DEFAULT,
+                    now.until(deadline),
+                    rand::rng().random(),
+                );
+                return Verdict::Refused {
+                    reason: Reason::Overload,
+                    retry_after,
+                };
+            }
+        }
+        let (admitted, strained) = shared.admit(&route, claim.as_ref(), now);
         if !admitted {
+            let return_time = claim
+                .and_then(|_| shared.return_time(&route, now.until(deadline), now))
+                .unwrap_or_else(|| rand::rng().random_range(RETRY_AFTER_OVERLOAD));
             return Verdict::Refused {
                 reason: Reason::Overload,
-                retry_after: rand::rng().random_range(RETRY_AFTER_OVERLOAD),
+                retry_after: return_time,
             };
         }
         let services = select_services(&route);
--- a/src/version/route.rs
+++ b/src/version/route.rs
@@ -10,7 +10,7 @@
 
 use derive_more::Display;
 
-use crate::tenancy::{Credential, Directory, Sender};
+use crate::tenancy::{Credential, Directory, Sender, Tenant, Urgency};
 
 /// The version of a route table; a node never goes back to a lower one.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
@@ -28,6 +28,10 @@
     services: HashMap<Arc<str>, Service>,
     /// The tenants and their keys; absent if the document declares none, so that no request needs a key.
     tenants: Option<Directory>,
+    /// The priorities of the routes, each once, in order.
+    priorities: Vec<u8>,
+    /// The urgencies that requests can have, each once, the most urgent first.
+    urgencies: Vec<Urgency>,
 }
 
 /// The limits on the size of requests of callers and on the time that they take to arrive.
@@ -142,7 +146,9 @@
         S: IntoIterator<Item = (Arc<str>, Service)>,
     {
         let mut hosts: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
+        let mut priorities = Vec::new();
         for route in routes {
+            priorities.push(route.priority);
             hosts
                 .entry(route.host.clone())
                 .or_default()
@@ -151,18 +157,26 @@
         for routes in hosts.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
+        priorities.sort_unstable();
+        priorities.dedup();
         Self {
             version,
             limits,
             hosts,
             services: services.into_iter().collect(),
             tenants: None,
+            urgencies: urgencies(&[None], &priorities),
+            priorities,
         }
     }
 
     /// Returns the table with tenants, so that requests need a key of one of them unless their route is anonymous.
     pub fn with_tenants(self, tenants: Directory) -> Self {
+        // Anonymous requests have no tenant.
+        let mut owners = vec![None];
+        owners.extend(tenants.tenants().map(|tenant| Some(&**tenant)));
         Self {
+            urgencies: urgencies(&owners, &self.priorities),
             tenants: Some(tenants),
             ..self
         }
@@ -192,8 +206,32 @@
         routes.iter().find(|route| path.starts_with(&route.prefix))
     }
 
+    /// Tells whether some requests are more urgent than others, or belong to tenants, so that it matters under load
+    /// whose request is refused.
+    pub const fn grades_requests(&self) -> bool {
+        self.tenants.is_some() || self.urgencies.len() > 1
+    }
+
+    /// Returns the place of an urgency among those that requests can have: 0 for the most urgent, 1 for the least urgent.
+    pub fn lag(&self, urgency: Urgency) -> f64 {
+        let more_urgent = self.urgencies.partition_point(|it| *it < urgency);
+        more_urgent as f64 / self.urgencies.len().saturating_sub(1).max(1) as f64
+    }
+
     /// Returns the settings of a service.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.get(name)
     }
 }
+
+/// Returns the urgencies of requests of these tenants on routes of these priorities, each once, in order.
+fn urgencies(tenants: &[Option<&Tenant>], priorities: &[u8]) -> Vec<Urgency> {
+    let mut tenants = tenants.to_vec();
+    tenants.sort_unstable_by_key(|tenant| tenant.and_then(|tenant| tenant.priority));
+    tenants.dedup_by_key(|tenant| tenant.and_then(|tenant| tenant.priority));
+    let of_routes = |tenant| priorities.iter().map(move |&it| Urgency::new(tenant, it));
+    let mut urgencies: Vec<Urgency> = tenants.into_iter().flat_map(of_routes).collect();
+    urgencies.sort_unstable();
+    urgencies.dedup();
+    urgencies
+}
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -1,6 +1,8 @@
 //! Simulates bursts of queries against a model of the targets, and checks how many queries are answered in
 //! time.
 
+mod shard_model;
+
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
@@ -9,17 +11,9 @@
 use redwinggrade::overload::admission::Admission;
 use redwinggrade::time::Moment;
 use rstest::rstest;
+use shard_model::{CAPACITY_PER_SECOND, SHARDS, ShardModel, is_in_time};
 
 const NODES: usize = 9;
-const SHARDS: usize = 20;
-const SHARDS_NEEDED: usize = 18;
-/// Slots of each shard: two targets with two slots each, modelled as one queue.
-const SLOTS_PER_SHARD: usize = 4;
-const QUEUE_PER_SHARD_MAX: usize = 24;
-const WORK_MS: f64 = 12.5;
-const NETWORK_MS: u64 = 5;
-/// The time within which an answer counts: the latency objective less the time for the reply.
-const ANSWER_LIMIT_MS: u64 = 124;
 /// Usual rate of queries per second; the capacity of the targets is 320 per second.
 const USUAL_QUERIES_PER_SECOND: f64 = 90.0;
 
@@ -35,11 +29,9 @@
 fn simulate(with_admission: bool, factor: impl Fn(u64) -> f64, seconds: u64) -> Vec<Tally> {
     let mut random = Pcg32::seed_from_u64(5);
     let mut nodes: Vec<Admission> = (0..NODES)
-        .map(|_| Admission::new(Moment::ZERO, SHARDS))
+        .map(|_| Admission::new(Moment::ZERO, SHARDS, 1))
         .collect();
-    // For each shard, when each slot becomes free, and when each queued subrequest starts to run.
-    let mut slots = vec![vec![0_u64; SLOTS_PER_SHARD]; SHARDS];
-    let mut waiting: Vec<Vec<u64>> = vec![Vec::new(); SHARDS];
+    let mut shards = ShardModel::new();
     let mut results: BinaryHeap<Reverse<(u64, usize, u64)>> = BinaryHeap::new();
     let mut tallies = vec![Tally::default(); seconds as usize];
     let mut now_us = 0_u64;
@@ -64,24 +56,13 @@
             tally.refused += 1;
             continue;
         }
-        let mut answered = 0;
-        for shard in 0..SHARDS {
-            waiting[shard].retain(|start| *start > now_us);
-            if waiting[shard].len() >= QUEUE_PER_SHARD_MAX {
-                continue;
-            }
-            let free = slots[shard].iter_mut().min().expect("a shard has slots");
-            let start = (*free).max(now_us);
-            let work = WORK_MS * (0.6 + 0.8 * random.random::<f64>());
-            *free = start + (work * 1e3) as u64;
-            let end = *free + NETWORK_MS * 1_000;
-            waiting[shard].push(start);
-            let took = end - now_us;
-            answered += usize::from(took <= ANSWER_LIMIT_MS * 1_000);
-            let ratio = took as f64 / ((WORK_MS + NETWORK_MS as f64) * 1e3);
-            results.push(Reverse((end, node, (ratio * 1e3) as u64)));
-        }
-        tally.in_time += u32::from(answered >= SHARDS_NEEDED);
+        let answers = shards.send(now_us, &mut random);
+        tally.in_time += u32::from(is_in_time(&answers));
+        results.extend(
+            answers
+                .iter()
+                .map(|it| Reverse((it.at_us, node, it.ratio_per_mille))),
+        );
     }
 }
 
@@ -109,7 +90,7 @@
     };
     let limited = sum(&simulate(true, burst, 25)[7..20]);
     let unlimited = sum(&simulate(false, burst, 25)[7..20]);
-    let capacity = SLOTS_PER_SHARD as f64 / (WORK_MS / 1e3) * 13.0;
+    let capacity = CAPACITY_PER_SECOND * 13.0;
     assert!(
         f64::from(limited.in_time) > 0.5 * capacity,
         "answered in time: {limited:?} of a capacity of {capacity} queries"
@@ -140,7 +121,7 @@
     #[case] slowdown: f64,
 ) {
     let mut random = Pcg32::seed_from_u64(9);
-    let mut admission = Admission::new(Moment::ZERO, SHARDS);
+    let mut admission = Admission::new(Moment::ZERO, SHARDS, 1);
     for step in 0..20_000_u64 {
         let now = Moment::from_millis(step * 2);
         let affected = step > 5_000 && random.random::<f64>() < share;
@@ -154,7 +135,7 @@
 /// Guards against a limit that never ends because the targets have become slower for good.
 #[test]
 fn adopts_lasting_slowdown_as_baseline() {
-    let mut admission = Admission::new(Moment::ZERO, SHARDS);
+    let mut admission = Admission::new(Moment::ZERO, SHARDS, 1);
     let mut refused = 0;
     for step in 0..120_000_u64 {
         let now = Moment::from_millis(step * 2);
@@ -176,7 +157,7 @@
 fn does_not_limit_queries_after_single_slow_queries_over_many_shards() {
     const MANY_SHARDS: usize = 90;
     let mut random = Pcg32::seed_from_u64(11);
-    let mut admission = Admission::new(Moment::ZERO, MANY_SHARDS);
+    let mut admission = Admission::new(Moment::ZERO, MANY_SHARDS, 1);
     for query in 0..240_u64 {
         let now = Moment::from_millis(query * 250);
         assert!(admission.try_begin(now), "query {query} was refused");
