Let nodes tell each other of slow targets, and disregard usual differences

Cause: each of many nodes chooses among targets from few observations of its own, so that targets of usual speed are avoided for seconds after one pause and slow ones are found by each node anew.

Change: balancing::Mode::Shared (settings: balancing: shared; the default separate is the choice as before).

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! one connection, one version of the settings or the index, or one process. Decisions are made by pure
 //! state machines that take the current time as an argument and use neither sockets nor clocks.
 
+pub mod balancing;
 pub mod client;
 pub mod command;
 pub mod connection;
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -28,6 +28,7 @@
 use super::mirror::Mirror;
 use super::placement::Placement;
 use super::roster::Roster;
+use crate::balancing;
 use crate::connection::head::Place;
 use crate::connection::keyspace::{Keyspace, Revision};
 use crate::connection::mirror::Update;
@@ -63,6 +64,8 @@
     pub grace_period: Duration,
     /// The interval at which targets write to the store.
     pub target_heartbeat: Duration,
+    /// How the node estimates the slowness of targets.
+    pub balancing: balancing::Mode,
 }
 
 /// The adapters through which an entry instance uses a platform.
@@ -238,12 +241,13 @@
         let clock = Clock::start();
         let codec: Arc<dyn Codec> = Arc::new(platform.codec);
         let budget = Budget::open(config.extra_request_bound, config.seeds.len());
-        let placement = Placement::open(
+        let mut placement = Placement::open(
             Arc::from(config.node.data_centre.as_str()),
             budget,
             &config.node.name,
             rand::rng().random(),
         );
+        placement.set_balancing(config.balancing);
         let mirrors = codec.prefixes().iter().map(|&prefix| Mirror::open(prefix));
         let shared = Arc::new(Shared {
             clock,
--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -46,6 +46,9 @@
 const STARTUP_ROUNDS: u32 = 2;
 /// Heartbeats go to seed hosts without a known node once in this number of rounds.
 const SEED_INTERVAL_ROUNDS: u32 = 3;
+/// The evenness of the load is measured over this number of rounds, about 10 s. A query sends one subrequest to a target
+/// of each shard, so that a shorter time would show only its last few queries.
+const LOAD_INTERVAL_ROUNDS: u32 = 33;
 
 /// A message to the control actor.
 #[derive(Debug)]
@@ -216,7 +219,10 @@
                 return Err("a task that follows the store has panicked".into());
             }
             Message::Store(notification) => state.handle_notification(notification, &myself),
-            Message::Heartbeat(heartbeat, _reports) => state.handle_heartbeat(heartbeat, &myself),
+            Message::Heartbeat(heartbeat, reports) => {
+                state.handle_reports(&reports);
+                state.handle_heartbeat(heartbeat, &myself);
+            }
             Message::PeerUpdate {
                 requested_at,
                 update,
@@ -545,6 +551,16 @@
         placement.pacing.set_serving(self.membership.serves);
     }
 
+    /// Records what another node reports beside its heartbeat.
+    fn handle_reports(&self, reports: &Reports) {
+        if !reports.loads.is_empty() {
+            // What waited while this process was paused is as old as the pause.
+            let arrived_at = self.shared.estimate_arrival(self.shared.clock.now());
+            let mut placement = self.shared.placement();
+            placement.record_loads(&reports.loads, arrived_at);
+        }
+    }
+
     /// Records a heartbeat. A newer revision than this node's makes it fetch the changes. An equal one from a
     /// node with a confirmed state confirms this node's state too, if it does not watch the store itself.
     fn handle_heartbeat(&mut self, heartbeat: Heartbeat, myself: &ActorRef<Message>) {
@@ -624,7 +640,10 @@
                     && *seed != own
                     && !roster.knows_address(*seed)
             });
-        let reports = Reports::default();
+        let reports = Reports {
+            loads: self.shared.placement().report_loads(now),
+            ..Reports::default()
+        };
         self.socket
             .send(&heartbeat, &reports, known.iter().copied().chain(seeds));
     }
@@ -689,7 +708,12 @@
     fn update_gauges(&self, now: Moment) {
         let meters = &self.shared.meters;
         let count = |number: usize| i64::try_from(number).unwrap_or(i64::MAX);
-        let placement = self.shared.placement();
+        let mut placement = self.shared.placement();
+        if self.rounds.is_multiple_of(LOAD_INTERVAL_ROUNDS) {
+            let busiest_to_mean = placement.take_busiest_to_mean();
+            meters.busiest_to_mean.set(busiest_to_mean.unwrap_or(0.0));
+        }
+        meters.slow_targets.set(count(placement.slow_targets(now)));
         meters
             .targets
             .set(count(placement.registry.targets().count()));
--- a/src/process/heartbeat.rs
+++ b/src/process/heartbeat.rs
@@ -8,6 +8,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use super::roster::Heartbeat;
+use crate::balancing::Load;
 use crate::quota::Demand;
 
 /// Maximum size of a datagram. A heartbeat without reports takes about 200 bytes.
@@ -22,12 +23,15 @@
     /// The demand of tenants that have a quota.
     #[serde(rename = "q", default, skip_serializing_if = "Vec::is_empty")]
     pub demands: Vec<Demand>,
+    /// The targets that are much slower than usual, and those that no longer are.
+    #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
+    pub loads: Vec<Load>,
 }
 
 impl Reports {
     /// Tells whether there is nothing to report, in which case nothing follows the heartbeat.
     pub const fn is_empty(&self) -> bool {
-        self.demands.is_empty()
+        self.demands.is_empty() && self.loads.is_empty()
     }
 }
 
--- a/src/process/meters.rs
+++ b/src/process/meters.rs
@@ -2,6 +2,7 @@
 //! coordinator node are in [`super::metrics`].
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use prometheus_client::encoding::EncodeLabelSet;
@@ -76,6 +77,10 @@
     pub targets: Gauge,
     /// Targets that state a limit on their requests.
     pub limited_targets: Gauge,
+    /// Targets that this node or others have found to be slow; zero unless loads are shared.
+    pub slow_targets: Gauge,
+    /// Subrequests of this node to its busiest target in the last 10 s, over the mean of all targets.
+    pub busiest_to_mean: Gauge<f64, AtomicU64>,
     /// Other nodes whose heartbeats arrived lately.
     pub nodes: Gauge,
     /// Requests that are being served.
@@ -108,6 +113,8 @@
             store_up: Gauge::default(),
             targets: Gauge::default(),
             limited_targets: Gauge::default(),
+            slow_targets: Gauge::default(),
+            busiest_to_mean: Gauge::default(),
             nodes: Gauge::default(),
             running_requests: Gauge::default(),
             request_time: latency_histogram(),
@@ -177,6 +184,16 @@
             "Targets that state a limit on their requests",
             self.limited_targets.clone(),
         );
+        registry.register(
+            "slow_targets",
+            "Targets that this node or others have found to be slow",
+            self.slow_targets.clone(),
+        );
+        registry.register(
+            "busiest_to_mean",
+            "Subrequests to the busiest target in 10 s, over the mean of all targets",
+            self.busiest_to_mean.clone(),
+        );
         registry.register("nodes", "Other nodes heard lately", self.nodes.clone());
         registry.register(
             "running_requests",
--- a/src/process/placement.rs
+++ b/src/process/placement.rs
@@ -15,6 +15,7 @@
 use super::budget::Budget;
 use super::pacing::{Pacing, Rate};
 use super::registry::{Effect, Effects, Registry, Target, TargetKey};
+use crate::balancing::{self, Load, Loads};
 use crate::connection::outbound::RateLimit;
 use crate::time::Moment;
 use crate::version::item::TargetReport;
@@ -70,6 +71,8 @@
     pub budget: Budget,
     /// This node's part of the rates of cold targets and of targets that state a limit.
     pub pacing: Pacing,
+    loads: Loads,
+    balancing: balancing::Mode,
     data_centre: Arc<str>,
     health: SecondaryMap<TargetKey, Health>,
     node_count: usize,
@@ -81,6 +84,8 @@
 struct Health {
     /// Subrequests to the target that have no result yet.
     in_flight: u32,
+    /// Subrequests to the target since the load was last measured.
+    sent: u32,
     /// Moving average of the latency as a multiple of what the route expects; 1.0 is as expected.
     slowness: f64,
     /// Moving average of the share of subrequests that failed, from 0 to 1; a refusal counts half.
@@ -138,6 +143,7 @@
     const fn new(now: Moment) -> Self {
         Self {
             in_flight: 0,
+            sent: 0,
             slowness: 1.0,
             error_rate: 0.0,
             updated_at: now,
@@ -244,6 +250,8 @@
             registry: Registry::default(),
             budget,
             pacing: Pacing::open(node),
+            loads: Loads::open(node),
+            balancing: balancing::Mode::default(),
             data_centre,
             health: SecondaryMap::new(),
             node_count: ASSUMED_NODES_AT_START,
@@ -251,6 +259,11 @@
         }
     }
 
+    /// Sets how this node estimates the load of targets.
+    pub const fn set_balancing(&mut self, mode: balancing::Mode) {
+        self.balancing = mode;
+    }
+
     /// Sets the nodes that share the limits. `discovery_complete` tells whether every node has had time to be
     /// discovered; until then at least `ASSUMED_NODES_AT_START` nodes are assumed.
     pub fn set_nodes(&mut self, nodes: &[String], discovery_complete: bool, now: Moment) {
@@ -271,6 +284,7 @@
             match *effect {
                 Effect::Added(key) => {
                     self.health.insert(key, Health::new(now));
+                    self.loads.add(key, name, now);
                 }
                 Effect::Removed(key) => self.forget(key),
                 Effect::Changed(_) => {}
@@ -282,6 +296,7 @@
     /// Removes the observations of a target that is no longer in the registry.
     pub fn forget(&mut self, key: TargetKey) {
         self.health.remove(key);
+        self.loads.forget(key);
     }
 
     /// Returns this node's share of the connections that all nodes may open to one target of a service.
@@ -336,7 +351,14 @@
             }
             let class = health.class();
             health.decay(now);
-            let cost = estimated_cost(health, target, &self.data_centre, expected)
+            let slowness = match self.balancing {
+                balancing::Mode::Separate => health.slowness,
+                balancing::Mode::Shared => {
+                    let own = health.slowness;
+                    self.loads.slowness(key, own, &mut self.random, now)
+                }
+            };
+            let cost = estimated_cost(health, slowness, target, &self.data_centre, expected)
                 * (1.0 + COST_JITTER * self.random.random::<f64>());
             let is_better = best
                 .is_none_or(|(best_class, best_cost, ..)| (class, cost) < (best_class, best_cost));
@@ -351,6 +373,7 @@
         }
         let health = self.health.get_mut(key)?;
         health.in_flight += 1;
+        health.sent += 1;
         if let Some(limit) = &mut health.rate_limit {
             limit.sent = limit.sent.saturating_add(1);
         }
@@ -415,6 +438,9 @@
         match observation {
             Observation::Answered { took, expected } => {
                 let ratio = took.as_secs_f64() / expected.as_secs_f64().max(0.001);
+                if self.balancing == balancing::Mode::Shared {
+                    self.loads.observe(key, took, expected, now);
+                }
                 health.slowness += (ratio.min(20.0) - health.slowness) * SLOWNESS_WEIGHT;
                 health.error_rate *= 1.0 - ERROR_WEIGHT;
                 health.mark_alive();
@@ -436,6 +462,45 @@
         }
     }
 
+    /// Returns what the next heartbeat says of targets; nothing unless loads are shared.
+    pub fn report_loads(&mut self, now: Moment) -> Vec<Load> {
+        if self.balancing == balancing::Mode::Separate {
+            return Vec::new();
+        }
+        // Whether a target can be reached may differ between nodes, so the others are told nothing of it.
+        let reachable = self.health.iter().filter(|(_, health)| !health.unreachable);
+        for (key, health) in reachable {
+            if let Some(since) = health.stalled_since {
+                self.loads.observe_stall(key, now.since(since), now);
+            }
+        }
+        self.loads.report(now)
+    }
+
+    /// Records what the heartbeat of another node said of targets.
+    pub fn record_loads(&mut self, loads: &[Load], now: Moment) {
+        if self.balancing == balancing::Mode::Shared {
+            self.loads.record(loads, now);
+        }
+    }
+
+    /// Returns the number of targets that this node or others have found to be slow.
+    pub fn slow_targets(&self, now: Moment) -> usize {
+        self.loads.slow_targets(now)
+    }
+
+    /// Returns the subrequests of this node to its busiest target over the mean of all targets, since the last call;
+    /// `None` if there were none.
+    pub fn take_busiest_to_mean(&mut self) -> Option<f64> {
+        let (mut most, mut sum) = (0, 0);
+        for health in self.health.values_mut() {
+            let sent = std::mem::take(&mut health.sent);
+            most = most.max(sent);
+            sum += sent;
+        }
+        (sum > 0).then(|| f64::from(most) * self.health.len() as f64 / f64::from(sum))
+    }
+
     /// Records what the answer to a subrequest says about the target's rate limit. `sent_at` is when the
     /// subrequest was sent: an answer without a limit lifts only one that was stated before.
     pub fn record_rate_limit(
@@ -550,12 +615,13 @@
 /// The caller must call [`Health::decay`] first, so that old observations have lost their weight.
 fn estimated_cost(
     health: &Health,
+    slowness: f64,
     target: &Target,
     own_data_centre: &str,
     expected: Duration,
 ) -> f64 {
     let load_share = f64::from(health.in_flight) / f64::from(target.report.slots.max(1));
-    let time = expected.as_secs_f64() * health.slowness * (1.0 + load_share);
+    let time = expected.as_secs_f64() * slowness * (1.0 + load_share);
     let errors = ERROR_COST.as_secs_f64() * health.error_rate;
     let cross_data_centre_penalty = if *target.report.data_centre == *own_data_centre {
         0.0
--- a/tests/entry_failure.rs
+++ b/tests/entry_failure.rs
@@ -114,6 +114,7 @@
         },
         grace_period: Duration::from_secs(6),
         target_heartbeat: Duration::from_secs(1),
+        balancing: redwinggrade::balancing::Mode::Separate,
     };
     let platform = Platform {
         keyspace: Arc::new(PanickingStore),
