Report targets that are stalled, which others then leave for a moment

Cause: at 24 nodes, a target that turns slow gets the requests of nearly all nodes before it is known as slow.

--- a/src/balancing/mod.rs
+++ b/src/balancing/mod.rs
@@ -32,6 +32,13 @@
 const SLOW_ROW_DURATION_MIN: Duration = Duration::from_millis(250);
 /// The time without such an answer after which a row ends.
 const SLOW_ROW_GAP_MAX: Duration = Duration::from_secs(2);
+/// How long a target must have been stalled to be reported as stalled. Ordinary answers take less.
+const REPORTED_STALL_MIN: Duration = Duration::from_millis(100);
+/// How long a target that another node reported as stalled counts as [`SLOW_RATIO`] times as slow as usual: until the
+/// next heartbeat of that node. A pause of 200 ms and the work that it delayed end about then.
+const STALL_DURATION: Duration = Duration::from_millis(300);
+/// The reported ratio of a target that was stalled when the heartbeat was sent, and may have paused or become slow.
+const STALLED: u8 = u8::MAX;
 /// How long a target must have been stalled to count as if it had given a slow answer. Pauses are shorter. Slow answers
 /// themselves are rarely seen, because their requests end before.
 const STALL_MIN: Duration = Duration::from_millis(250);
@@ -65,7 +72,7 @@
 }
 
 /// What a node has seen of one target since its last report: the hash of the target's name, and the mean time of its
-/// answers as a multiple of the expected time, in quarters.
+/// answers as a multiple of the expected time, in quarters, or the greatest number if it was stalled and gave none.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load(pub u32, pub u8);
 
@@ -95,6 +102,10 @@
     /// otherwise.
     slowness: f64,
     updated_at: Moment,
+    /// Until when the target counts as stalled because another node reported it.
+    stalled_until: Moment,
+    /// Whether the target is to be reported as stalled.
+    is_stalled: bool,
     /// The sum and the number of the ratios that are not reported yet.
     unreported: (f64, u32),
 }
@@ -110,6 +121,7 @@
         self.updated_at = now;
         if ratio < SLOW_RATIO {
             self.slow_answers = 0;
+            self.stalled_until = now;
         } else {
             if self.slow_answers == 0 || now.since(self.slow_row.1) > SLOW_ROW_GAP_MAX {
                 self.slow_answers = 0;
@@ -154,6 +166,8 @@
             slow_row: (now, now),
             slowness: 1.0,
             updated_at: now,
+            stalled_until: now,
+            is_stalled: false,
             unreported: (0.0, 0),
         };
         self.keys.insert(evidence.name, key);
@@ -181,8 +195,13 @@
         evidence.unreported.1 += 1;
     }
 
-    /// Records that a target which can be reached has been stalled for this long.
+    /// Records that a target has been stalled for this long, although it could be reached when it was last tried.
     pub fn observe_stall(&mut self, key: TargetKey, stalled_for: Duration, now: Moment) {
+        if stalled_for >= REPORTED_STALL_MIN
+            && let Some(evidence) = self.evidence.get_mut(key)
+        {
+            evidence.is_stalled = true;
+        }
         if stalled_for >= STALL_MIN && !self.expected.is_zero() {
             self.observe(key, stalled_for, self.expected, now);
         }
@@ -197,6 +216,9 @@
         let Some(evidence) = self.evidence.get(key) else {
             return own;
         };
+        if evidence.stalled_until > now {
+            return own.max(SLOW_RATIO);
+        }
         let slowness = evidence.slowness_at(now);
         if slowness <= DOUBTFUL_SLOWNESS {
             return own;
@@ -213,7 +235,11 @@
         let mut loads = Vec::new();
         for evidence in self.evidence.values_mut() {
             let (sum, count) = std::mem::take(&mut evidence.unreported);
+            let is_stalled = std::mem::take(&mut evidence.is_stalled);
             if count == 0 {
+                if is_stalled {
+                    loads.push(Load(evidence.name, STALLED));
+                }
                 continue;
             }
             let ratio = sum / f64::from(count);
@@ -233,6 +259,10 @@
         for &Load(name, ratio) in loads.iter().take(ENTRIES_MAX) {
             let key = self.keys.get(&name);
             if let Some(evidence) = key.and_then(|key| self.evidence.get_mut(*key)) {
+                if ratio == STALLED {
+                    evidence.stalled_until = now + STALL_DURATION;
+                    continue;
+                }
                 evidence.add((f64::from(ratio) / RATIO_UNITS).min(RATIO_MAX), now);
             }
         }
--- a/tests/balancing.rs
+++ b/tests/balancing.rs
@@ -49,12 +49,12 @@
 
 /// Guards against loads that are no more even than by the choice of each node alone, or only at the price of more
 /// traffic between data centres, more refusals or slower queries. A twentieth is the least gain for which reports are
-/// worth their bytes. Of the many nodes, each sees few answers of a slow target; there the loads must not be less even.
+/// worth their bytes.
 #[rstest]
 #[case::few_nodes(6, 0, 0.95)]
 #[case::few_nodes_and_slow_targets(6, 3, 0.95)]
 #[case::many_nodes(24, 0, 0.95)]
-#[case::many_nodes_and_slow_targets(24, 3, 1.0)]
+#[case::many_nodes_and_slow_targets(24, 3, 0.95)]
 fn shared_loads_are_more_even_than_separate_choices(
     #[case] nodes: usize,
     #[case] slow_targets: usize,
@@ -147,6 +147,23 @@
     assert!(count_chosen(&mut receiver, home, 200, at(30_000)) > 180);
 }
 
+/// Guards against requests that each node sends to a target until it notices itself that the target is stalled, and
+/// against leaving it for longer than a pause.
+#[test]
+fn target_that_another_node_reports_as_stalled_is_left_for_a_moment() {
+    let (mut reporter, keys) = shared_placement(1);
+    let home = keys[0][0];
+    reporter.mark_overdue(home, at(0));
+    let loads = reporter.report_loads(at(200));
+    let (mut receiver, _) = shared_placement(1);
+    receiver.record_loads(&loads, at(200));
+    assert!(count_chosen(&mut receiver, home, 200, at(201)) < 20);
+    assert!(count_chosen(&mut receiver, home, 200, at(600)) > 180);
+    receiver.record_loads(&loads, at(1_000));
+    answer(&mut receiver, home, USUAL, at(1_010));
+    assert!(count_chosen(&mut receiver, home, 200, at(1_020)) > 180);
+}
+
 /// Guards against all nodes leaving a target that has only paused: the answers that the pause delayed come at once.
 #[test]
 fn answers_after_one_pause_do_not_make_a_target_slow() {
@@ -190,9 +207,11 @@
     answer(&mut node, slow, USUAL, at(0));
     node.mark_overdue(slow, at(100));
     node.observe(unreachable, Observation::Unreachable, at(100));
-    assert_eq!(node.report_loads(at(200)), []);
+    assert_eq!(node.report_loads(at(150)), []);
+    let loads = node.report_loads(at(250));
+    assert!(matches!(loads[..], [Load(_, u8::MAX)]), "{loads:?}");
     let loads = node.report_loads(at(700));
-    assert!(matches!(loads[..], [Load(_, 12..)]), "{loads:?}");
+    assert!(matches!(loads[..], [Load(_, 12..=80)]), "{loads:?}");
 }
 
 /// Guards against reports that fill the datagrams of heartbeats when very many targets are slow, and against leaving out
