--- a/src/balancing/mod.rs
+++ b/src/balancing/mod.rs
@@ -23,8 +23,6 @@
 /// The slowness above 1.0 that counts as usual. Targets differ in speed by up to a third, and the moving average of a
 /// few answers varies by about as much.
 const TOLERATED_SLOWNESS: f64 = 0.5;
-/// Whether usual differences count all the same.
-pub static COUNTS_USUAL: std::sync::atomic::AtomicBool = std::sync::atomic::AtomicBool::new(false);
 /// An answer that takes this multiple of the expected time is evidence that its target is slow. About one answer in a
 /// thousand of a target of usual speed takes that long.
 const SLOW_RATIO: f64 = 3.0;
@@ -214,11 +212,7 @@
     where
         R: Rng,
     {
-        let own = if COUNTS_USUAL.load(std::sync::atomic::Ordering::Relaxed) {
-            own
-        } else {
-            (own - TOLERATED_SLOWNESS).max(1.0)
-        };
+        let own = (own - TOLERATED_SLOWNESS).max(1.0);
         let Some(evidence) = self.evidence.get(key) else {
             return own;
         };
--- a/src/process/placement.rs
+++ b/src/process/placement.rs
@@ -77,11 +77,6 @@
     health: SecondaryMap<TargetKey, Health>,
     node_count: usize,
     random: Pcg32,
-    /// The alternative that is tried.
-    pub trial: &'static str,
-    /// The open requests over slots of each target, which a node cannot know.
-    pub known_loads: SecondaryMap<TargetKey, f64>,
-    node_hash: u64,
 }
 
 /// What this node has observed of a target.
@@ -89,8 +84,6 @@
 struct Health {
     /// Subrequests to the target that have no result yet.
     in_flight: u32,
-    recent: f64,
-    recent_at: Moment,
     /// Subrequests to the target since the load was last measured.
     sent: u32,
     /// Moving average of the latency as a multiple of what the route expects; 1.0 is as expected.
@@ -150,8 +143,6 @@
     const fn new(now: Moment) -> Self {
         Self {
             in_flight: 0,
-            recent: 0.0,
-            recent_at: now,
             sent: 0,
             slowness: 1.0,
             error_rate: 0.0,
@@ -265,9 +256,6 @@
             health: SecondaryMap::new(),
             node_count: ASSUMED_NODES_AT_START,
             random: Pcg32::new(seed, 0xa02_bdbf_7bb3_c0a7),
-            trial: "",
-            known_loads: SecondaryMap::new(),
-            node_hash: xxhash_rust::xxh3::xxh3_64(node.as_bytes()),
         }
     }
 
@@ -341,7 +329,7 @@
     ) -> Option<TargetKey> {
         let connections = self.connection_limit(table, service);
         let cold_rate = table.service(service).and_then(|known| known.cold_rate);
-        let mut options: Vec<(Class, f64, TargetKey, Option<Rate>)> = Vec::new();
+        let mut best: Option<(Class, f64, TargetKey, Option<Rate>)> = None;
         for (key, target) in self.registry.usable(service) {
             if tried.contains(&key) {
                 continue;
@@ -370,41 +358,13 @@
                     self.loads.slowness(key, own, &mut self.random, now)
                 }
             };
-            let jitter = if self.trial == "rank" {
-                let draw =
-                    xxhash_rust::xxh3::xxh3_64_with_seed(target.name.as_bytes(), self.node_hash);
-                (draw % 1_000) as f64 / 1_000.0
-            } else {
-                self.random.random::<f64>()
-            };
-            let mut cost = estimated_cost(health, slowness, target, &self.data_centre, expected);
-            if self.trial == "sends" {
-                let half_lives = now.since(health.recent_at).as_secs_f64() / 0.1;
-                let recent = health.recent * 0.5_f64.powf(half_lives);
-                cost += expected.as_secs_f64() * slowness * 0.5 * recent;
+            let cost = estimated_cost(health, slowness, target, &self.data_centre, expected)
+                * (1.0 + COST_JITTER * self.random.random::<f64>());
+            let is_better = best
+                .is_none_or(|(best_class, best_cost, ..)| (class, cost) < (best_class, best_cost));
+            if is_better {
+                best = Some((class, cost, key, rate));
             }
-            cost += self.known_loads.get(key).copied().unwrap_or(0.0) * expected.as_secs_f64();
-            options.push((class, cost * (1.0 + COST_JITTER * jitter), key, rate));
-        }
-        let class = options.iter().map(|it| it.0).min();
-        options.retain(|it| Some(it.0) == class);
-        if self.trial == "two" && options.len() > 2 {
-            let left_out = self.random.random_range(0..options.len());
-            options.remove(left_out);
-        }
-        let mut best = None;
-        if self.trial == "proportional" {
-            let sum: f64 = options.iter().map(|it| it.1.powi(-3)).sum();
-            let mut draw = self.random.random::<f64>() * sum;
-            for option in options {
-                best = Some(option);
-                draw -= option.1.powi(-3);
-                if draw < 0.0 {
-                    break;
-                }
-            }
-        } else {
-            best = options.into_iter().min_by(|a, b| a.1.total_cmp(&b.1));
         }
         let (_, _, key, rate) = best?;
         if rate.is_some() {
@@ -414,9 +374,6 @@
         let health = self.health.get_mut(key)?;
         health.in_flight += 1;
         health.sent += 1;
-        let half_lives = now.since(health.recent_at).as_secs_f64() / 0.1;
-        health.recent = health.recent * 0.5_f64.powf(half_lives) + 1.0;
-        health.recent_at = now;
         if let Some(limit) = &mut health.rate_limit {
             limit.sent = limit.sent.saturating_add(1);
         }
--- a/tests/balancing.rs
+++ b/tests/balancing.rs
@@ -42,13 +42,7 @@
             length: ms(10_000),
             seed,
         };
-        let trial = std::env::var("TRIAL").unwrap_or_default().leak();
-        redwinggrade::balancing::COUNTS_USUAL
-            .store(trial == "usual", std::sync::atomic::Ordering::Relaxed);
-        sum.add(play(scenario, |placement| {
-            placement.set_balancing(mode);
-            placement.trial = trial;
-        }));
+        sum.add(play(scenario, |placement| placement.set_balancing(mode)));
     }
     sum
 }
@@ -274,17 +268,12 @@
 #[test]
 #[ignore = "prints figures for docs/design/even-load.md"]
 fn print_figures() {
-    let mode = match &*std::env::var("TRIAL").unwrap_or_default() {
-        "alone" | "usual" => Mode::Shared,
-        _ => Mode::Separate,
-    };
-    {
-        for (queries_per_second, slow_targets) in [(40.0, 0), (40.0, 3)] {
-            for nodes in [6, 24, 60] {
+    for mode in [Mode::Separate, Mode::Shared] {
+        for (queries_per_second, slow_targets) in [(40.0, 0), (40.0, 3), (80.0, 3)] {
+            for nodes in [3, 6, 24, 60] {
                 let figures = figures(mode, nodes, queries_per_second, slow_targets, 4);
                 println!(
-                    "| {} {mode:?} | {queries_per_second} | {slow_targets} | {nodes} | {figures} |",
-                    std::env::var("TRIAL").unwrap_or_default(),
+                    "| {mode:?} | {queries_per_second} | {slow_targets} | {nodes} | {figures} |"
                 );
             }
         }
--- a/tests/balancing_support/mod.rs
+++ b/tests/balancing_support/mod.rs
@@ -464,19 +464,6 @@
 
     fn step(&mut self, number: usize, event: Event, now: Moment) {
         let node = self.queries[number].node;
-        let trial = self.nodes[node].placement.trial;
-        if matches!(event, Event::Start | Event::Tick) && trial.starts_with("known") {
-            for (n, target) in self.targets.iter().enumerate() {
-                let rest = target.end_of_work(now, Duration::ZERO).since(now);
-                let load = match trial {
-                    "known" => target.open() as f64 / SLOTS as f64,
-                    _ => 0.0,
-                };
-                let rest = rest.as_secs_f64() / MEDIAN_SERVICE_SECONDS;
-                let placement = &mut self.nodes[node].placement;
-                placement.known_loads.insert(self.keys[n], load + rest);
-            }
-        }
         let query = &mut self.queries[number];
         let actions = query
             .fanout
@@ -663,8 +650,7 @@
                 self.figures.report_bytes_per_second +=
                     bytes as f64 / seconds / self.scenario.nodes as f64;
             }
-            let hears = self.nodes[node].placement.trial != "alone";
-            for to in (0..self.nodes.len()).filter(|to| hears && *to != node) {
+            for to in (0..self.nodes.len()).filter(|to| *to != node) {
                 self.nodes[to].placement.record_loads(&loads, now);
             }
         }
