--- a/src/balancing/mod.rs
+++ b/src/balancing/mod.rs
@@ -213,20 +213,30 @@
         R: Rng,
     {
         let own = (own - TOLERATED_SLOWNESS).max(1.0);
+        let shared = self.shared_slowness(key, now);
+        if shared > 1.0 && random.random_bool(TRIAL_SHARE) {
+            return 1.0;
+        }
+        own.max(shared)
+    }
+
+    /// Returns the slowness by the answers to all nodes, as far as this node takes it into account; 1.0 unless the
+    /// target is known as slow or stalled.
+    pub fn shared_slowness(&self, key: TargetKey, now: Moment) -> f64 {
         let Some(evidence) = self.evidence.get(key) else {
-            return own;
+            return 1.0;
+        };
+        let stalled = if evidence.stalled_until > now {
+            SLOW_RATIO
+        } else {
+            1.0
         };
-        if evidence.stalled_until > now {
-            return own.max(SLOW_RATIO);
-        }
         let slowness = evidence.slowness_at(now);
-        if slowness <= DOUBTFUL_SLOWNESS {
-            return own;
-        }
-        if random.random_bool(TRIAL_SHARE) {
-            return 1.0;
+        if slowness > DOUBTFUL_SLOWNESS {
+            stalled.max(1.0 + (slowness - 1.0) * evidence.heed)
+        } else {
+            stalled
         }
-        own.max(1.0 + (slowness - 1.0) * evidence.heed)
     }
 
     /// Returns what the next heartbeat says of targets: those that were slow, and those that others may still take for
--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -626,6 +626,10 @@
             fresh: self.watch_confirmed && self.store_available && !self.shared.is_uncertain(now),
             revision: self.latest_change(),
         };
+        let reports = Reports {
+            loads: self.shared.placement().report_loads(now),
+            ..Reports::default()
+        };
         let own = self.shared.config.node.heartbeat;
         let roster = self.shared.roster();
         let known: Vec<_> = roster.heartbeat_addresses(round).collect();
@@ -640,10 +644,6 @@
                     && *seed != own
                     && !roster.knows_address(*seed)
             });
-        let reports = Reports {
-            loads: self.shared.placement().report_loads(now),
-            ..Reports::default()
-        };
         self.socket
             .send(&heartbeat, &reports, known.iter().copied().chain(seeds));
     }
--- a/src/process/entry/serve.rs
+++ b/src/process/entry/serve.rs
@@ -338,7 +338,7 @@
         log::info!(
             request:% = id_text(&call.request_id), leg = self.index, cause,
             service:% = self.service, target_name:% = endpoint.name, open = stats.in_flight,
-            slowness = stats.slowness, errors = stats.error_rate,
+            slowness = stats.slowness, shared_slowness = stats.shared_slowness, errors = stats.error_rate,
             stalled_ms = stats.stalled_for.map(millis_rounded);
             "leg sent"
         );
--- a/src/process/placement.rs
+++ b/src/process/placement.rs
@@ -202,6 +202,9 @@
     pub in_flight: u32,
     /// Moving average of the latency as a multiple of what the route expects; 1.0 is as expected.
     pub slowness: f64,
+    /// The slowness by the answers to all nodes, as far as this node takes it into account; 1.0 unless loads are
+    /// shared and the target is known as slow.
+    pub shared_slowness: f64,
     /// Moving average of the share of subrequests that failed, from 0 to 1; a refusal counts half.
     pub error_rate: f64,
     /// For how long the target has given no answer; `None` while it answers.
@@ -552,6 +555,7 @@
         Some(Stats {
             in_flight: health.in_flight,
             slowness: health.slowness,
+            shared_slowness: self.loads.shared_slowness(key, now),
             error_rate: health.error_rate,
             stalled_for: health.stalled_since.map(|since| now.since(since)),
             rate_limit: health.rate_limit.map(|limit| limit.per_second),
--- a/tests/heartbeat.rs
+++ b/tests/heartbeat.rs
@@ -2,9 +2,11 @@
 
 use std::net::SocketAddr;
 
+use redwinggrade::balancing::Load;
 use redwinggrade::connection::keyspace::Revision;
 use redwinggrade::process::heartbeat::{Reports, decode, encode};
 use redwinggrade::process::roster::Heartbeat;
+use redwinggrade::quota::Demand;
 use redwinggrade::version::item::Node;
 use redwinggrade::wire::Incarnation;
 
@@ -41,6 +43,20 @@
     assert_eq!(decode(&followed), Some((heartbeat(), Reports::default())));
 }
 
+/// A report of loads must not be lost on the way, nor hide the reports of other parts.
+#[test]
+fn heartbeat_carries_loads_beside_other_reports() {
+    let reports = Reports {
+        demands: vec![Demand {
+            tenant: 7,
+            per_second: 1.5,
+        }],
+        loads: vec![Load(1, 12), Load(u32::MAX, u8::MAX)],
+    };
+    let bytes = encode(&heartbeat(), &reports);
+    assert_eq!(decode(&bytes), Some((heartbeat(), reports)));
+}
+
 /// Bytes after a heartbeat that cannot be read must not hide that its sender lives.
 #[test]
 fn heartbeat_counts_although_its_reports_are_broken() {
