--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -28,6 +28,7 @@
 use super::mirror::Mirror;
 use super::placement::Placement;
 use super::roster::Roster;
+use crate::balancing;
 use crate::connection::head::Place;
 use crate::connection::keyspace::{Keyspace, Revision};
 use crate::connection::memory;
@@ -71,6 +72,8 @@
     pub target_heartbeat: Duration,
     /// The memory that callers may make the node hold.
     pub memory: memory::Budget,
+    /// How the node estimates the slowness of targets.
+    pub balancing: balancing::Mode,
 }
 
 /// The adapters through which an entry instance uses a platform.
@@ -249,12 +252,13 @@
         let clock = Clock::start();
         let codec: Arc<dyn Codec> = Arc::new(platform.codec);
         let budget = Budget::open(config.extra_request_bound, config.seeds.len());
-        let placement = Placement::open(
+        let mut placement = Placement::open(
             Arc::from(config.node.data_centre.as_str()),
             budget,
             &config.node.name,
             rand::rng().random(),
         );
+        placement.set_balancing(config.balancing);
         let mirrors = codec.prefixes().iter().map(|&prefix| Mirror::open(prefix));
         let shared = Arc::new(Shared {
             clock,
--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -50,6 +50,9 @@
 const QUOTA_USAGE_ROUNDS: u32 = 20;
 /// Heartbeats go to seed hosts without a known node once in this number of rounds.
 const SEED_INTERVAL_ROUNDS: u32 = 3;
+/// The evenness of the load is measured over this number of rounds, about 10 s. A query sends one subrequest to a target
+/// of each shard, so that a shorter time would show only its last few queries.
+const LOAD_INTERVAL_ROUNDS: u32 = 33;
 
 /// A message to the control actor.
 #[derive(Debug)]
@@ -574,10 +577,16 @@
 
     /// Records what another node reports beside its heartbeat.
     fn record_reports(&self, node: &str, reports: &Reports) {
-        let own = &self.shared.config.node.name;
-        if node != own {
-            let now = self.shared.clock.now();
-            self.shared.quotas().record(node, &reports.demands, now);
+        if node == self.shared.config.node.name {
+            return;
+        }
+        let now = self.shared.clock.now();
+        self.shared.quotas().record(node, &reports.demands, now);
+        if !reports.loads.is_empty() {
+            // What waited while this process was paused is as old as the pause.
+            let arrived_at = self.shared.estimate_arrival(now);
+            let mut placement = self.shared.placement();
+            placement.record_loads(&reports.loads, arrived_at);
         }
     }
 
@@ -646,6 +655,10 @@
             fresh: self.watch_confirmed && self.store_available && !self.shared.is_uncertain(now),
             revision: self.latest_change(),
         };
+        let reports = Reports {
+            demands: self.shared.quotas().report(now),
+            loads: self.shared.placement().report_loads(now),
+        };
         let own = self.shared.config.node.heartbeat;
         let roster = self.shared.roster();
         let known: Vec<_> = roster.heartbeat_addresses(round).collect();
@@ -660,9 +673,6 @@
                     && *seed != own
                     && !roster.knows_address(*seed)
             });
-        let reports = Reports {
-            demands: self.shared.quotas().report(now),
-        };
         self.socket
             .send(&heartbeat, &reports, known.iter().copied().chain(seeds));
     }
@@ -728,7 +738,12 @@
     fn update_gauges(&self, now: Moment) {
         let meters = &self.shared.meters;
         let count = |number: usize| i64::try_from(number).unwrap_or(i64::MAX);
-        let placement = self.shared.placement();
+        let mut placement = self.shared.placement();
+        if self.rounds.is_multiple_of(LOAD_INTERVAL_ROUNDS) {
+            let busiest_to_mean = placement.take_busiest_to_mean();
+            meters.busiest_to_mean.set(busiest_to_mean.unwrap_or(0.0));
+        }
+        meters.slow_targets.set(count(placement.slow_targets(now)));
         meters
             .targets
             .set(count(placement.registry.targets().count()));
--- a/src/process/meters.rs
+++ b/src/process/meters.rs
@@ -2,6 +2,7 @@
 //! coordinator node are in [`super::metrics`].
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -89,6 +90,10 @@
     pub throttled_requests: Counter,
     /// The share of this node's part of a quota that the tenant's requests took, for each tenant with requests.
     pub quota_usage: Histogram,
+    /// Targets that this node or others have found to be slow; zero unless loads are shared.
+    pub slow_targets: Gauge,
+    /// Subrequests of this node to its busiest target in the last 10 s, over the mean of all targets.
+    pub busiest_to_mean: Gauge<f64, AtomicU64>,
     /// Other nodes whose heartbeats arrived lately.
     pub nodes: Gauge,
     /// Bytes that callers make the node hold.
@@ -129,6 +134,8 @@
             limited_targets: Gauge::default(),
             throttled_requests: Counter::default(),
             quota_usage: Histogram::new([0.1, 0.25, 0.5, 0.75, 0.9, 1.0, 1.25, 1.5, 2.0, 4.0]),
+            slow_targets: Gauge::default(),
+            busiest_to_mean: Gauge::default(),
             nodes: Gauge::default(),
             memory_held: Gauge::default(),
             memory_capacity: Gauge::default(),
@@ -211,6 +218,16 @@
             "Share of this node's part of a tenant's quota that its requests took",
             self.quota_usage.clone(),
         );
+        registry.register(
+            "slow_targets",
+            "Targets that this node or others have found to be slow",
+            self.slow_targets.clone(),
+        );
+        registry.register(
+            "busiest_to_mean",
+            "Subrequests to the busiest target in 10 s, over the mean of all targets",
+            self.busiest_to_mean.clone(),
+        );
         registry.register("nodes", "Other nodes heard lately", self.nodes.clone());
         registry.register(
             "caller_memory_bytes",
