Add roll-outs: canary, shared evidence, verdict and records in the store

Operators can order that a service moves to targets of another version. Without bounds in the settings file roll-outs are off.

--- a/src/connection/keyspace.rs
+++ b/src/connection/keyspace.rs
@@ -98,6 +98,17 @@
     },
 }
 
+/// A write that takes effect only if its key has not changed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Write {
+    /// The key.
+    pub key: String,
+    /// The new value.
+    pub value: Vec<u8>,
+    /// The revision of the last change of the key; absent if the key must not exist.
+    pub expected: Option<Revision>,
+}
+
 /// How fresh a listing must be.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Freshness {
@@ -136,6 +147,9 @@
     /// The lease has expired or was revoked.
     #[error("the store has no such lease")]
     NoLease,
+    /// A key has another revision than a conditional write expects, and nothing was done.
+    #[error("a key has changed since it was read")]
+    Conflict,
     /// The store refused the call, and nothing was done.
     #[error("the store refused the call with status {0}")]
     Refused(u16),
@@ -173,6 +187,10 @@
         lease: Lease,
     ) -> impl Future<Output = Result<(), Error>> + Send;
 
+    /// Writes all keys, or none if one of them has another revision than expected. The keys have no lease. Returns the
+    /// revision of the writes.
+    fn write_if(&self, writes: &[Write]) -> impl Future<Output = Result<Revision, Error>> + Send;
+
     /// Grants a lease that expires after `lifetime` unless it is renewed.
     fn grant(&self, lifetime: Duration) -> impl Future<Output = Result<Lease, Error>> + Send;
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod process;
 pub mod quota;
 pub mod request;
+pub mod rollout;
 pub mod tenancy;
 pub mod time;
 pub mod version;
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -6,6 +6,7 @@
 
 mod control;
 mod report;
+mod rollouts;
 mod serve;
 
 use std::collections::HashMap;
@@ -34,6 +35,8 @@
 use crate::connection::outbound::{Call, Pool, Protocol};
 use crate::request::admission::Admission;
 use crate::request::latency::LatencyEstimator;
+use crate::rollout::Bounds;
+use crate::rollout::state::Rollouts;
 use crate::time::{Clock, Moment};
 use crate::version::item::{Codec, Node};
 use crate::version::route::{Destination, Kind, Limits, Route, Table};
@@ -63,6 +66,8 @@
     pub grace_period: Duration,
     /// The interval at which targets write to the store.
     pub target_heartbeat: Duration,
+    /// The bounds on the exposure to versions that are rolled out; absent if roll-outs are off.
+    pub rollout: Option<Bounds>,
 }
 
 /// The adapters through which an entry instance uses a platform.
@@ -238,12 +243,13 @@
         let clock = Clock::start();
         let codec: Arc<dyn Codec> = Arc::new(platform.codec);
         let budget = Budget::open(config.extra_request_bound, config.seeds.len());
-        let placement = Placement::open(
+        let mut placement = Placement::open(
             Arc::from(config.node.data_centre.as_str()),
             budget,
             &config.node.name,
             rand::rng().random(),
         );
+        placement.rollouts = Rollouts::open(config.rollout, &config.node.name);
         let mirrors = codec.prefixes().iter().map(|&prefix| Mirror::open(prefix));
         let shared = Arc::new(Shared {
             clock,
--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -9,6 +9,7 @@
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 
 use super::report::millis_rounded;
+use super::rollouts::RolloutDriver;
 use super::{Shared, heartbeat_address};
 use crate::connection::keyspace::{self, Freshness, Keyspace, Revision};
 use crate::connection::mirror::{self, Update};
@@ -104,6 +105,7 @@
 
 struct State<P> {
     shared: Arc<Shared<P>>,
+    rollouts: RolloutDriver<P>,
     codec: Arc<dyn Codec>,
     follower: Follower,
     socket: Socket,
@@ -189,6 +191,7 @@
         myself.send_interval(HEARTBEAT_INTERVAL, || Message::Tick);
         shared.meters.store_up.set(1);
         Ok(State {
+            rollouts: RolloutDriver::open(&shared, &keyspace, &codec),
             shared,
             codec,
             follower,
@@ -216,7 +219,10 @@
                 return Err("a task that follows the store has panicked".into());
             }
             Message::Store(notification) => state.handle_notification(notification, &myself),
-            Message::Heartbeat(heartbeat, _reports) => state.handle_heartbeat(heartbeat, &myself),
+            Message::Heartbeat(heartbeat, reports) => {
+                state.rollouts.hear(&heartbeat.node.name, reports.rollouts);
+                state.handle_heartbeat(heartbeat, &myself);
+            }
             Message::PeerUpdate {
                 requested_at,
                 update,
@@ -262,6 +268,7 @@
                 );
                 // Answers prove nothing about the settings before the copy has been read.
                 self.watch_confirmed = false;
+                self.rollouts.reset_stored();
             }
             Notification::Failed => {}
             Notification::Confirmed => {
@@ -422,6 +429,9 @@
     /// Applies accepted changes of the mirrors to the route table, the placement and the roster.
     fn apply_changes(&self, changes: Vec<Change>, now: Moment) {
         for change in changes {
+            if self.rollouts.apply(&change, now) {
+                continue;
+            }
             match change {
                 Change::Put(key, value) => {
                     let item = self.codec.decode(&key, &value);
@@ -490,7 +500,14 @@
                     self.apply_effect(effect);
                 }
             }
-            (kind, Item::Unreadable(cause)) if kind != ItemKind::Other => {
+            (
+                ItemKind::RolloutOrder(_)
+                | ItemKind::Rollout(_)
+                | ItemKind::RolloutStatus(_)
+                | ItemKind::Other,
+                Item::Unreadable(_),
+            ) => {}
+            (_, Item::Unreadable(cause)) => {
                 self.shared.meters.unreadable_items.inc();
                 log::warn!(key, cause; "item unreadable, last good one kept");
             }
@@ -522,7 +539,11 @@
             ItemKind::Node(name) => {
                 self.shared.roster().remove_record(&name, now);
             }
-            ItemKind::Settings | ItemKind::Other => {}
+            ItemKind::Settings
+            | ItemKind::RolloutOrder(_)
+            | ItemKind::Rollout(_)
+            | ItemKind::RolloutStatus(_)
+            | ItemKind::Other => {}
         }
     }
 
@@ -624,7 +645,10 @@
                     && *seed != own
                     && !roster.knows_address(*seed)
             });
-        let reports = Reports::default();
+        let reports = Reports {
+            rollouts: self.rollouts.report(),
+            ..Reports::default()
+        };
         self.socket
             .send(&heartbeat, &reports, known.iter().copied().chain(seeds));
     }
@@ -638,10 +662,12 @@
         self.update_follower();
         self.update_membership(now);
         self.share_bounds(now);
+        self.rollouts.tick(self.membership.serves, now);
         self.send_heartbeats(self.rounds);
         self.shared.roster().expire(now);
         self.shared.pool.close_unusable(now);
         let due = self.reconciliation.due(now);
+        let due = self.rollouts.without_orders(due);
         self.apply_changes(due, now);
         let effects = self.shared.placement().registry.expire(now);
         if !effects.is_empty() {
--- a/src/process/entry/serve.rs
+++ b/src/process/entry/serve.rs
@@ -20,6 +20,7 @@
     Action, Event, Fanout, Plan, REPLY_MARGIN, REPLY_MARGIN_OPEN_CONNECTION,
 };
 use crate::request::reply::{FailureCause, Invalid, Outcome, Reason, Verdict};
+use crate::rollout::evidence::Sample;
 use crate::time::Moment;
 use crate::version::route::{Destination, Kind, Route};
 use crate::wire;
@@ -245,17 +246,29 @@
         };
         let (endpoint, stats) = {
             let placement = shared.placement();
-            let endpoint = placement.registry.get(self.target).map(|target| Endpoint {
-                key: self.target,
-                name: Arc::clone(&target.name),
-                address: target.report.address,
-                dedicated: self.route.kind == Kind::NonIdempotent,
+            let endpoint = placement.registry.get(self.target).map(|target| {
+                let endpoint = Endpoint {
+                    key: self.target,
+                    name: Arc::clone(&target.name),
+                    address: target.report.address,
+                    dedicated: self.route.kind == Kind::NonIdempotent,
+                };
+                let version = Arc::clone(&target.report.version);
+                (endpoint, version, target.cold_until > start)
             });
             (endpoint, placement.stats(self.target, start))
         };
-        let Some(endpoint) = endpoint else {
+        let Some((endpoint, version, is_cold)) = endpoint else {
             return (self.index, Outcome::NotRun(FailureCause::Unregistered));
         };
+        let mut trial = Trial {
+            subrequest: &self,
+            target: Arc::clone(&endpoint.name),
+            version,
+            is_cold,
+            start,
+            is_recorded: false,
+        };
         self.log_sent(&call, &endpoint, stats, start);
         let result = shared
             .pool
@@ -263,6 +276,8 @@
             .await;
         let now = shared.clock.now();
         let took = now.since(start);
+        trial.record(&result.outcome, took);
+        drop(trial);
         guard.observation =
             Option::<Observation>::from(&result.outcome).unwrap_or(Observation::Answered {
                 took,
@@ -375,6 +390,59 @@
     }
 }
 
+/// Counts the result of a subrequest in the evidence on the version of its target.
+struct Trial<'a, P> {
+    subrequest: &'a Subrequest<P>,
+    target: Arc<str>,
+    version: Arc<str>,
+    is_cold: bool,
+    start: Moment,
+    is_recorded: bool,
+}
+
+impl<P> Trial<'_, P> {
+    fn record(&mut self, outcome: &Outcome, took: Duration) {
+        self.is_recorded = true;
+        let sample = match outcome {
+            Outcome::Failed(answer) if answer.status.is_server_error() => Sample::Failed,
+            Outcome::Succeeded(_) | Outcome::Failed(_) if self.is_cold => Sample::GoodCold,
+            Outcome::Succeeded(_) | Outcome::Failed(_) => Sample::Good(took),
+            Outcome::Lost(_) => Sample::Failed,
+            // A refusal shows the load of a target, and not its version.
+            Outcome::NotRun(_) => return,
+        };
+        self.count(sample);
+    }
+
+    fn count(&self, sample: Sample) {
+        let Subrequest {
+            shared,
+            service,
+            route,
+            ..
+        } = self.subrequest;
+        let target = (&*self.target, &*self.version);
+        let is_trial =
+            shared
+                .placement()
+                .rollouts
+                .record_result(service, &route.name, target, sample);
+        if is_trial {
+            shared.meters.count_rollout_answer(sample == Sample::Failed);
+        }
+    }
+}
+
+impl<P> Drop for Trial<'_, P> {
+    /// Counts a subrequest that was cancelled because another answer came first, if it was slow.
+    fn drop(&mut self) {
+        let waited = self.subrequest.shared.clock.now().since(self.start);
+        if !self.is_recorded && !self.is_cold && waited >= HEDGE_LOSER_TIMEOUT {
+            self.count(Sample::Good(waited));
+        }
+    }
+}
+
 /// Returns the name of a cause in log lines and metrics, which do not distinguish retries from restarts.
 const fn cause_name(cause: wire::Cause) -> &'static str {
     match cause {
--- a/src/process/follow.rs
+++ b/src/process/follow.rs
@@ -16,7 +16,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 use tokio_util::task::AbortOnDropHandle;
 
-use super::meters::{Meters, StoreCallLabels};
+use super::meters::Meters;
 use crate::connection::keyspace::{
     Batch, Era, Error, Event, Freshness, Item, Keyspace, Lease, Page, Revision,
 };
@@ -352,12 +352,7 @@
             "no answer within the time limit of the call".to_owned(),
         ))
     });
-    let outcome = if result.is_ok() { "ok" } else { "failed" };
-    let call = StoreCallLabels {
-        call: name,
-        outcome,
-    };
-    meters.store_calls.get_or_create(&call).inc();
+    meters.count_store_call(name, result.is_ok());
     result
 }
 
--- a/src/process/heartbeat.rs
+++ b/src/process/heartbeat.rs
@@ -9,6 +9,7 @@
 
 use super::roster::Heartbeat;
 use crate::quota::Demand;
+use crate::rollout::report::Report;
 
 /// Maximum size of a datagram. A heartbeat without reports takes about 200 bytes.
 pub const DATAGRAM_MAX_BYTES: usize = 1_200;
@@ -22,12 +23,15 @@
     /// The demand of tenants that have a quota.
     #[serde(rename = "q", default, skip_serializing_if = "Vec::is_empty")]
     pub demands: Vec<Demand>,
+    /// The roll-outs that the node takes part in.
+    #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
+    pub rollouts: Vec<Report>,
 }
 
 impl Reports {
     /// Tells whether there is nothing to report, in which case nothing follows the heartbeat.
     pub const fn is_empty(&self) -> bool {
-        self.demands.is_empty()
+        self.demands.is_empty() && self.rollouts.is_empty()
     }
 }
 
--- a/src/process/meters.rs
+++ b/src/process/meters.rs
@@ -46,6 +46,13 @@
     pub outcome: &'static str,
 }
 
+/// Label of the roll-outs in a phase.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct PhaseLabel {
+    /// The phase, for example `canary`.
+    pub phase: String,
+}
+
 /// All metrics of an entry instance; clones share the same values.
 #[derive(Debug, Clone)]
 pub struct Meters {
@@ -78,6 +85,10 @@
     pub limited_targets: Gauge,
     /// Other nodes whose heartbeats arrived lately.
     pub nodes: Gauge,
+    /// Roll-outs of services, by phase.
+    pub rollouts: Family<PhaseLabel, Gauge>,
+    /// Answers of targets of versions that are rolled out, by outcome.
+    pub rollout_answers: Family<OutcomeLabels, Counter>,
     /// Requests that are being served.
     pub running_requests: Gauge,
     /// The time from sending a request, as far as the node knows it, to its answer, in seconds.
@@ -109,6 +120,8 @@
             targets: Gauge::default(),
             limited_targets: Gauge::default(),
             nodes: Gauge::default(),
+            rollouts: Family::default(),
+            rollout_answers: Family::default(),
             running_requests: Gauge::default(),
             request_time: latency_histogram(),
             subrequest_time: latency_histogram(),
@@ -178,6 +191,16 @@
             self.limited_targets.clone(),
         );
         registry.register("nodes", "Other nodes heard lately", self.nodes.clone());
+        registry.register(
+            "rollouts",
+            "Roll-outs of services, by phase",
+            self.rollouts.clone(),
+        );
+        registry.register(
+            "rollout_answers",
+            "Answers of targets of versions that are rolled out, by outcome",
+            self.rollout_answers.clone(),
+        );
         registry.register(
             "running_requests",
             "Requests that run now",
@@ -231,6 +254,22 @@
         self.subrequest_time.observe(took.as_secs_f64());
     }
 
+    /// Counts a call to the platform's store.
+    pub fn count_store_call(&self, call: &'static str, is_ok: bool) {
+        let outcome = if is_ok { "ok" } else { "failed" };
+        let labels = StoreCallLabels { call, outcome };
+        self.store_calls.get_or_create(&labels).inc();
+    }
+
+    /// Counts an answer of a target whose version is rolled out.
+    pub fn count_rollout_answer(&self, failed: bool) {
+        let labels = OutcomeLabels {
+            outcome: if failed { "failed" } else { "done" },
+            reason: String::new(),
+        };
+        self.rollout_answers.get_or_create(&labels).inc();
+    }
+
     /// Counts a probe of a target; `reached` tells whether a connection could be opened.
     pub fn count_probe(&self, reached: bool) {
         let outcome = if reached { "reached" } else { "failed" };
--- a/src/process/mirror.rs
+++ b/src/process/mirror.rs
@@ -167,6 +167,11 @@
         self.revision > Revision::default() && revision.era() > self.revision.era()
     }
 
+    /// Returns the revision of the last change of a key that has a value.
+    pub fn revision_of(&self, key: &str) -> Option<Revision> {
+        self.items.get(key).map(|value| value.revision)
+    }
+
     /// Returns the last known state of a key.
     pub fn state(&self, key: &str) -> KeyState {
         if self.items.contains_key(key) {
--- a/src/process/placement.rs
+++ b/src/process/placement.rs
@@ -11,11 +11,14 @@
 use rand::Rng;
 use rand_pcg::Pcg32;
 use slotmap::SecondaryMap;
+use smallvec::SmallVec;
 
 use super::budget::Budget;
 use super::pacing::{Pacing, Rate};
 use super::registry::{Effect, Effects, Registry, Target, TargetKey};
 use crate::connection::outbound::RateLimit;
+use crate::rollout::run::Targets;
+use crate::rollout::state::{Event, Output, Rollouts, Side, Split};
 use crate::time::Moment;
 use crate::version::item::TargetReport;
 use crate::version::route::Table;
@@ -57,6 +60,9 @@
 /// time to discover the others. Targets still count the connections of earlier processes that lost power, so
 /// a new process starts with a small share.
 const ASSUMED_NODES_AT_START: usize = 24;
+/// Cost of each earlier canary request to a target, more than any other cost, so that they are spread evenly over the
+/// targets of the new version.
+const CANARY_COST: Duration = Duration::from_secs(100);
 /// Maximum random increase of a target's cost, as a fraction, so that nodes do not all choose the same
 /// target.
 const COST_JITTER: f64 = 0.15;
@@ -70,6 +76,8 @@
     pub budget: Budget,
     /// This node's part of the rates of cold targets and of targets that state a limit.
     pub pacing: Pacing,
+    /// The roll-outs, which decide between the versions of a service's targets.
+    pub rollouts: Rollouts,
     data_centre: Arc<str>,
     health: SecondaryMap<TargetKey, Health>,
     node_count: usize,
@@ -102,6 +110,8 @@
     avoid_until: Moment,
     /// The limit on the rate of requests that the target states, while it does.
     rate_limit: Option<StatedLimit>,
+    /// The requests that this node sent to the target as one of a version that is rolled out.
+    sent_as_new: u32,
 }
 
 /// A limit on the rate of requests that a target states in its answers.
@@ -148,6 +158,7 @@
             probe_backoff: Duration::ZERO,
             avoid_until: Moment::ZERO,
             rate_limit: None,
+            sent_as_new: 0,
         }
     }
 
@@ -244,6 +255,7 @@
             registry: Registry::default(),
             budget,
             pacing: Pacing::open(node),
+            rollouts: Rollouts::default(),
             data_centre,
             health: SecondaryMap::new(),
             node_count: ASSUMED_NODES_AT_START,
@@ -311,14 +323,109 @@
         cause: Cause,
         expected: Duration,
         now: Moment,
+    ) -> Option<TargetKey> {
+        let Some(split) = self.rollouts.split(service) else {
+            return self.pick_among(table, service, tried, cause, expected, None, now);
+        };
+        let (has_old, has_new) = self.known_sides(service, &split);
+        let sides = self.rollouts.sides(service, cause, has_old, has_new, now);
+        let (side, key) = sides.into_iter().find_map(|side| {
+            let among = Some((&*split, side));
+            let key = self.pick_among(table, service, tried, cause, expected, among, now)?;
+            Some((side, key))
+        })?;
+        let is_new = side != Side::Old && self.is_new(key, &split);
+        if is_new && let Some(health) = self.health.get_mut(key) {
+            health.sent_as_new = health.sent_as_new.saturating_add(1);
+        }
+        self.rollouts.record_sent(service, cause, is_new);
+        Some(key)
+    }
+
+    /// Tells whether targets are known of the old side and of the new version of a service, in whatever state.
+    fn known_sides(&self, service: &str, split: &Split) -> (bool, bool) {
+        let has = |side| {
+            let mut known = self.registry.known(service);
+            known.any(|(_, target)| split.contains(side, &target.report.version))
+        };
+        (has(Side::Old), has(Side::New))
+    }
+
+    fn is_new(&self, key: TargetKey, split: &Split) -> bool {
+        let target = self.registry.get(key);
+        target.is_some_and(|target| split.contains(Side::New, &target.report.version))
+    }
+
+    /// Returns the sides of a service's targets that requests may go to now, if it has a roll-out.
+    fn allowed_sides(
+        &self,
+        service: &str,
+        now: Moment,
+    ) -> Option<(Arc<Split>, SmallVec<[Side; 2]>)> {
+        let split = self.rollouts.split(service)?;
+        let (has_old, has_new) = self.known_sides(service, &split);
+        // Canary requests are first ones; a service has no room if only its new targets have.
+        let sides = self
+            .rollouts
+            .sides(service, Cause::Retry, has_old, has_new, now);
+        Some((split, sides))
+    }
+
+    /// Passes the targets of each service with a roll-out and the present nodes to the roll-outs, and returns what is to be
+    /// done.
+    pub fn tick_rollouts(&mut self, nodes: Event, now: Moment) -> Vec<Output> {
+        let mut outputs = self.rollouts.step(nodes, now);
+        let services: Vec<Arc<str>> = self.rollouts.services().cloned().collect();
+        for service in services {
+            let Some(split) = self.rollouts.split(&service) else {
+                continue;
+            };
+            let usable = |side| {
+                let usable = self.registry.usable(&service);
+                usable
+                    .filter(|(_, target)| split.contains(side, &target.report.version))
+                    .count()
+            };
+            let old = self.registry.known(&service);
+            let old = old.filter(|(_, target)| !split.contains(Side::New, &target.report.version));
+            let open_old = old.filter_map(|(key, _)| self.health.get(key));
+            let targets = Targets {
+                new: usable(Side::New),
+                old: usable(Side::Old),
+                open_old: open_old.map(|health| health.in_flight).sum(),
+            };
+            outputs.extend(self.rollouts.step(Event::Targets { service, targets }, now));
+        }
+        outputs.extend(self.rollouts.step(Event::Tick, now));
+        outputs
+    }
+
+    /// Chooses a target as [`Self::pick`] does, among all targets of the service or those of one side.
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "the choice and a part of the targets"
+    )]
+    fn pick_among(
+        &mut self,
+        table: &Table,
+        service: &str,
+        tried: &[TargetKey],
+        cause: Cause,
+        expected: Duration,
+        among: Option<(&Split, Side)>,
+        now: Moment,
     ) -> Option<TargetKey> {
         let connections = self.connection_limit(table, service);
         let cold_rate = table.service(service).and_then(|known| known.cold_rate);
+        let spreads = among.is_some() && self.rollouts.is_canary(service);
         let mut best: Option<(Class, f64, TargetKey, Option<Rate>)> = None;
         for (key, target) in self.registry.usable(service) {
             if tried.contains(&key) {
                 continue;
             }
+            if among.is_some_and(|(split, side)| !split.contains(side, &target.report.version)) {
+                continue;
+            }
             let Some(health) = self.health.get_mut(key) else {
                 continue;
             };
@@ -336,8 +443,11 @@
             }
             let class = health.class();
             health.decay(now);
-            let cost = estimated_cost(health, target, &self.data_centre, expected)
+            let mut cost = estimated_cost(health, target, &self.data_centre, expected)
                 * (1.0 + COST_JITTER * self.random.random::<f64>());
+            if matches!(among, Some((_, Side::New))) && spreads {
+                cost += CANARY_COST.as_secs_f64() * f64::from(health.sent_as_new);
+            }
             let is_better = best
                 .is_none_or(|(best_class, best_cost, ..)| (class, cost) < (best_class, best_cost));
             if is_better {
@@ -496,8 +606,10 @@
     /// Returns the earliest time at which a target of the service may be tried, or `None` if it has no usable
     /// target.
     pub fn available_at(&mut self, service: &str, now: Moment) -> Option<Moment> {
+        let allowed = self.allowed_sides(service, now);
         self.registry
             .usable(service)
+            .filter(|(_, target)| is_allowed(allowed.as_ref(), target))
             .filter_map(|(key, target)| Some((target, self.health.get(key)?)))
             .map(|(target, health)| {
                 let reachable_at = if health.unreachable {
@@ -516,14 +628,25 @@
     }
 
     /// Returns whether a target of the service that can be reached states a limit on its requests.
-    pub fn is_limited(&self, service: &str) -> bool {
+    pub fn is_limited(&self, service: &str, now: Moment) -> bool {
+        let allowed = self.allowed_sides(service, now);
         self.registry
             .usable(service)
+            .filter(|(_, target)| is_allowed(allowed.as_ref(), target))
             .filter_map(|(key, _)| self.health.get(key))
             .any(|health| health.rate_limit.is_some() && !health.unreachable)
     }
 }
 
+/// Tells whether a target belongs to one of the sides of a roll-out that requests may go to.
+fn is_allowed(allowed: Option<&(Arc<Split>, SmallVec<[Side; 2]>)>, target: &Target) -> bool {
+    allowed.is_none_or(|(split, sides)| {
+        sides
+            .iter()
+            .any(|side| split.contains(*side, &target.report.version))
+    })
+}
+
 /// Returns the rate of requests to the target that all nodes share, if it is bounded: because the target states
 /// a limit, or because it is cold and its service has a rate for cold targets.
 fn bounded_rate(
--- a/src/process/registry.rs
+++ b/src/process/registry.rs
@@ -219,9 +219,14 @@
 
     /// Returns the targets of a service that take new work: ready, not leaving, not misdirected and not evacuated.
     pub fn usable(&self, service: &str) -> impl Iterator<Item = (TargetKey, &Target)> {
+        self.known(service)
+            .filter(|(_, target)| self.takes_work(target))
+    }
+
+    /// Returns all known targets of a service, including those that take no work.
+    pub fn known(&self, service: &str) -> impl Iterator<Item = (TargetKey, &Target)> {
         let keys = self.keys_by_service.get(service).into_iter().flatten();
         keys.map(|&key| (key, &self.targets[key]))
-            .filter(|(_, target)| self.takes_work(target))
     }
 
     fn takes_work(&self, target: &Target) -> bool {
--- a/src/process/roster.rs
+++ b/src/process/roster.rs
@@ -262,6 +262,17 @@
             .map(|(name, _)| name.as_str())
     }
 
+    /// Returns how many of the other nodes that are elected to serve callers were heard within the period, and how many
+    /// are elected.
+    pub fn count_heard(&self, period: Duration, now: Moment) -> (usize, usize) {
+        let elected = self.nodes.values().filter(|it| it.elected_since.is_some());
+        let heard = elected.clone().filter(|known| {
+            let last = known.last_heartbeat;
+            last.is_some_and(|last_heartbeat| now.since(last_heartbeat) <= period)
+        });
+        (heard.count(), elected.count())
+    }
+
     /// Returns the addresses to which heartbeats are sent in a round.
     ///
     /// A node that serves callers sends them to its own data centre and to all serving nodes, and every
--- a/src/request/fanout.rs
+++ b/src/request/fanout.rs
@@ -329,7 +329,7 @@
         let wait = available_again_at
             .map(|moment| moment.map_or(RETRY_AFTER_NO_TARGET, |moment| now.until(moment)))
             .max();
-        let reason = if services().any(|service| placement.is_limited(service)) {
+        let reason = if services().any(|service| placement.is_limited(service, now)) {
             Reason::TargetLimit
         } else {
             Reason::NoTarget
@@ -389,7 +389,7 @@
                 };
                 self.wait_for_capacity(shard_index, now + delay, now, Reason::Shed);
             }
-            Some(moment) if placement.is_limited(&service) => {
+            Some(moment) if placement.is_limited(&service, now) => {
                 self.wait_for_capacity(shard_index, moment, now, Reason::TargetLimit);
             }
             _ => self.fail_if_none_open(shard_index, Reason::NoTarget),
--- a/src/version/item.rs
+++ b/src/version/item.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::route::Table;
+use crate::rollout;
 use crate::wire::Incarnation;
 
 /// The kind of an item, which its key determines.
@@ -23,6 +24,12 @@
     Target(Arc<str>),
     /// The addresses of the named node of this system.
     Node(Arc<str>),
+    /// An operator's order to move the named service to another version.
+    RolloutOrder(Arc<str>),
+    /// This system's record of the roll-out of the named service.
+    Rollout(Arc<str>),
+    /// The state of the roll-out of the named service, for operators.
+    RolloutStatus(Arc<str>),
     /// An item that this system does not use.
     Other,
 }
@@ -38,6 +45,12 @@
     Target(TargetReport),
     /// The addresses of a node.
     Node(Node),
+    /// An order to move a service to another version.
+    RolloutOrder(rollout::Order),
+    /// The record of a roll-out.
+    Rollout(rollout::Record),
+    /// The state of a roll-out, which nodes only write.
+    RolloutStatus,
     /// A value that cannot be decoded, with the reason.
     Unreadable(String),
 }
@@ -47,6 +60,8 @@
 pub struct TargetReport {
     /// The service whose requests the target executes.
     pub service: Arc<str>,
+    /// The version of the target's software.
+    pub version: Arc<str>,
     /// The address on which the target listens.
     pub address: SocketAddr,
     /// The data centre of the target.
@@ -106,4 +121,7 @@
 
     /// Returns the key and the encoded value under which a node publishes itself.
     fn encode_node(&self, node: &Node) -> (String, Vec<u8>);
+
+    /// Returns the keys and the encoded values of the record of a service's roll-out and of its state for operators.
+    fn encode_rollout(&self, service: &str, record: &rollout::Record) -> [(String, Vec<u8>); 2];
 }
--- a/tests/entry_failure.rs
+++ b/tests/entry_failure.rs
@@ -9,11 +9,12 @@
 use hyper::Request;
 use hyper::http::response;
 use redwinggrade::connection::keyspace::{
-    Batch, Era, Error, Freshness, Keyspace, Lease, Page, Revision,
+    Batch, Era, Error, Freshness, Keyspace, Lease, Page, Revision, Write,
 };
 use redwinggrade::connection::outbound::{Call, CallResult, Endpoint, Protocol};
 use redwinggrade::process::budget::Bound;
 use redwinggrade::process::entry::{Config, Entry, Platform};
+use redwinggrade::rollout::Record;
 use redwinggrade::version::item::{Codec, Item, ItemKind, Node};
 use redwinggrade::wire::Incarnation;
 
@@ -41,6 +42,10 @@
         Ok(())
     }
 
+    async fn write_if(&self, _: &[Write]) -> Result<Revision, Error> {
+        Err(Error::Conflict)
+    }
+
     async fn grant(&self, _: Duration) -> Result<Lease, Error> {
         Ok(Lease(1))
     }
@@ -90,6 +95,10 @@
     fn encode_node(&self, node: &Node) -> (String, Vec<u8>) {
         (format!("nodes/{}", node.name), Vec::new())
     }
+
+    fn encode_rollout(&self, service: &str, _: &Record) -> [(String, Vec<u8>); 2] {
+        ["records", "states"].map(|kind| (format!("{kind}/{service}"), Vec::new()))
+    }
 }
 
 /// Guards against a process that goes on with old settings after a panic has ended the task that reads new
@@ -113,6 +122,7 @@
             slack: 58.0,
         },
         grace_period: Duration::from_secs(6),
+        rollout: None,
         target_heartbeat: Duration::from_secs(1),
     };
     let platform = Platform {
--- a/tests/entry_support/mod.rs
+++ b/tests/entry_support/mod.rs
@@ -38,6 +38,7 @@
 /// Returns the report of a warm target that takes new work.
 pub fn target_report(service: &str, data_centre: &str, port: u16) -> TargetReport {
     TargetReport {
+        version: Arc::from("v1"),
         service: Arc::from(service),
         address: ([127, 0, 0, 1], port).into(),
         data_centre: Arc::from(data_centre),
--- a/tests/follow.rs
+++ b/tests/follow.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use redwinggrade::connection::keyspace::{
-    Batch, Era, Error, Event, Freshness, Item, Keyspace, Lease, Page, Revision,
+    Batch, Era, Error, Event, Freshness, Item, Keyspace, Lease, Page, Revision, Write,
 };
 use redwinggrade::process::follow::{Follower, Notification};
 use redwinggrade::process::meters::Meters;
@@ -151,6 +151,10 @@
         Ok(())
     }
 
+    async fn write_if(&self, _: &[Write]) -> Result<Revision, Error> {
+        Err(Error::Conflict)
+    }
+
     async fn grant(&self, _: Duration) -> Result<Lease, Error> {
         Ok(Lease(1))
     }
