--- a/src/process/entry/rollouts.rs
+++ b/src/process/entry/rollouts.rs
@@ -5,7 +5,7 @@
 use super::Shared;
 use crate::connection::keyspace::Keyspace;
 use crate::process::meters::PhaseLabel;
-use crate::process::mirror::{Change, Mirror};
+use crate::process::mirror::Change;
 use crate::rollout::report::Report;
 use crate::rollout::state::{Event, Output};
 use crate::rollout::{Phase, Record, writer};
@@ -66,7 +66,7 @@
             }
             (ItemKind::RolloutOrder(service), Change::Put(key, value)) => {
                 let mirrors = self.shared.mirrors();
-                let revision = mirrors.iter().filter_map(|it: &Mirror| it.revision_of(key));
+                let revision = mirrors.iter().filter_map(|it| it.revision_of(key));
                 let revision = revision.max().unwrap_or_default();
                 drop(mirrors);
                 match self.codec.decode(key, value) {
--- a/src/process/entry/serve.rs
+++ b/src/process/entry/serve.rs
@@ -243,6 +243,7 @@
             shared,
             target: self.target,
             observation: Observation::NoResult,
+            trial: None,
         };
         let (endpoint, stats) = {
             let placement = shared.placement();
@@ -261,14 +262,16 @@
         let Some((endpoint, version, is_cold)) = endpoint else {
             return (self.index, Outcome::NotRun(FailureCause::Unregistered));
         };
-        let mut trial = Trial {
-            subrequest: &self,
+        let trial = guard.trial.insert(Trial {
+            service: Arc::clone(&self.service),
+            route: Arc::clone(&self.route.name),
             target: Arc::clone(&endpoint.name),
             version,
             is_cold,
             start,
-            is_recorded: false,
-        };
+            sample: None,
+            is_cancelled: true,
+        });
         self.log_sent(&call, &endpoint, stats, start);
         let result = shared
             .pool
@@ -277,7 +280,6 @@
         let now = shared.clock.now();
         let took = now.since(start);
         trial.record(&result.outcome, took);
-        drop(trial);
         guard.observation =
             Option::<Observation>::from(&result.outcome).unwrap_or(Observation::Answered {
                 took,
@@ -390,56 +392,38 @@
     }
 }
 
-/// Counts the result of a subrequest in the evidence on the version of its target.
-struct Trial<'a, P> {
-    subrequest: &'a Subrequest<P>,
+/// What a subrequest shows about the version of its target.
+struct Trial {
+    service: Arc<str>,
+    route: Arc<str>,
     target: Arc<str>,
     version: Arc<str>,
     is_cold: bool,
     start: Moment,
-    is_recorded: bool,
+    /// The result; absent if the subrequest was cancelled or did not run.
+    sample: Option<Sample>,
+    is_cancelled: bool,
 }
 
-impl<P> Trial<'_, P> {
+impl Trial {
     fn record(&mut self, outcome: &Outcome, took: Duration) {
-        self.is_recorded = true;
-        let sample = match outcome {
-            Outcome::Failed(answer) if answer.status.is_server_error() => Sample::Failed,
-            Outcome::Succeeded(_) | Outcome::Failed(_) if self.is_cold => Sample::GoodCold,
-            Outcome::Succeeded(_) | Outcome::Failed(_) => Sample::Good(took),
-            Outcome::Lost(_) => Sample::Failed,
+        self.is_cancelled = false;
+        self.sample = match outcome {
+            Outcome::Failed(answer) if answer.status.is_server_error() => Some(Sample::Failed),
+            Outcome::Succeeded(_) | Outcome::Failed(_) if self.is_cold => Some(Sample::GoodCold),
+            Outcome::Succeeded(_) | Outcome::Failed(_) => Some(Sample::Good(took)),
+            Outcome::Lost(_) => Some(Sample::Failed),
             // A refusal shows the load of a target, and not its version.
-            Outcome::NotRun(_) => return,
+            Outcome::NotRun(_) => None,
         };
-        self.count(sample);
     }
 
-    fn count(&self, sample: Sample) {
-        let Subrequest {
-            shared,
-            service,
-            route,
-            ..
-        } = self.subrequest;
-        let target = (&*self.target, &*self.version);
-        let is_trial =
-            shared
-                .placement()
-                .rollouts
-                .record_result(service, &route.name, target, sample);
-        if is_trial {
-            shared.meters.count_rollout_answer(sample == Sample::Failed);
-        }
-    }
-}
-
-impl<P> Drop for Trial<'_, P> {
-    /// Counts a subrequest that was cancelled because another answer came first, if it was slow.
-    fn drop(&mut self) {
-        let waited = self.subrequest.shared.clock.now().since(self.start);
-        if !self.is_recorded && !self.is_cold && waited >= HEDGE_LOSER_TIMEOUT {
-            self.count(Sample::Good(waited));
-        }
+    /// Returns the result. A subrequest that was cancelled because another answer came first counts if it was slow.
+    fn sample(&self, now: Moment) -> Option<Sample> {
+        let waited = now.since(self.start);
+        let is_slow = self.is_cancelled && !self.is_cold && waited >= HEDGE_LOSER_TIMEOUT;
+        self.sample
+            .or_else(|| is_slow.then_some(Sample::Good(waited)))
     }
 }
 
@@ -457,13 +441,26 @@
     shared: &'a Shared<P>,
     target: TargetKey,
     observation: Observation,
+    trial: Option<Trial>,
 }
 
 impl<P> Drop for OutcomeGuard<'_, P> {
     fn drop(&mut self) {
         let now = self.shared.clock.now();
-        self.shared
-            .placement()
-            .observe(self.target, self.observation, now);
+        let mut placement = self.shared.placement();
+        placement.observe(self.target, self.observation, now);
+        let Some((trial, sample)) = self
+            .trial
+            .as_ref()
+            .and_then(|trial| Some((trial, trial.sample(now)?)))
+        else {
+            return;
+        };
+        let target = (&*trial.target, &*trial.version);
+        let rollouts = &mut placement.rollouts;
+        if rollouts.record_result(&trial.service, &trial.route, target, sample) {
+            let is_failed = sample == Sample::Failed;
+            self.shared.meters.count_rollout_answer(is_failed);
+        }
     }
 }
--- a/src/process/owner.rs
+++ b/src/process/owner.rs
@@ -74,11 +74,21 @@
 
 /// Returns the weight of a candidate (a cell or a member) for a target, equal on every node.
 fn rendezvous_weight(target: Target<'_>, candidate: &str) -> u64 {
+    let mut hash = hash_parts([target.index, target.service, candidate]);
+    hash.update(&target.replica.to_le_bytes());
+    hash.digest()
+}
+
+/// Returns the state of a hash of texts, in which their lengths count too, so that no other texts have the same hash by
+/// design.
+pub fn hash_parts<'a, Parts>(parts: Parts) -> Xxh3
+where
+    Parts: IntoIterator<Item = &'a str>,
+{
     let mut hash = Xxh3::new();
-    for part in [target.index, target.service, candidate] {
+    for part in parts {
         hash.update(&(part.len() as u64).to_le_bytes());
         hash.update(part.as_bytes());
     }
-    hash.update(&target.replica.to_le_bytes());
-    hash.digest()
+    hash
 }
--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -19,9 +19,9 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
-use xxhash_rust::xxh3::Xxh3;
 
 use crate::connection::keyspace::{Era, Revision};
+use crate::process::owner::hash_parts;
 
 /// The bounds on the exposure of callers to a bad version.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -54,11 +54,7 @@
 impl RunId {
     /// Returns the id of the execution of an order that the store holds with this revision.
     pub fn new(service: &str, order: &Order, revision: Revision) -> Self {
-        let mut hash = Xxh3::new();
-        for part in [service, &*order.version] {
-            hash.update(&(part.len() as u64).to_le_bytes());
-            hash.update(part.as_bytes());
-        }
+        let mut hash = hash_parts([service, &*order.version]);
         hash.update(&order.duration.as_micros().to_le_bytes());
         hash.update(&revision.0.to_le_bytes());
         Self(hash.digest() as u32)
--- a/src/rollout/state.rs
+++ b/src/rollout/state.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use smallvec::{SmallVec, smallvec};
-use xxhash_rust::xxh3::Xxh3;
 
 use super::evidence::{Sample, Tally};
 use super::report::{self, REPORTS_MAX_BYTES, Report};
@@ -14,6 +13,7 @@
 use super::verdict::Fault;
 use super::{Bounds, Order, Phase, Record, RunId, short_hash};
 use crate::connection::keyspace::Revision;
+use crate::process::owner::hash_parts;
 use crate::time::Moment;
 use crate::wire::Cause;
 
@@ -626,9 +626,5 @@
 }
 
 fn weight(service: &str, node: &str) -> u64 {
-    let mut hash = Xxh3::new();
-    hash.update(&(service.len() as u64).to_le_bytes());
-    hash.update(service.as_bytes());
-    hash.update(node.as_bytes());
-    hash.digest()
+    hash_parts([service, node]).digest()
 }
