Judge a version by all routes together too, and when reports arrive

Times now also need clearly more slow answers than usual, failures are added over routes by the test of Mantel and Haenszel, and reports of failures are judged at once.

--- a/src/rollout/evidence.rs
+++ b/src/rollout/evidence.rs
@@ -37,6 +37,12 @@
         RANGES - 1
     }
 
+    /// Returns the number of answers in a range or a later one.
+    pub fn count_from(&self, range: usize) -> u32 {
+        let later = self.0.iter().skip(range);
+        later.copied().map(u32::from).sum()
+    }
+
     /// Returns the ranges that have answers, with their counts.
     pub fn filled(&self) -> impl Iterator<Item = (u16, u16)> {
         let filled = self.0.iter().enumerate().filter(|(_, count)| **count > 0);
--- a/src/rollout/run.rs
+++ b/src/rollout/run.rs
@@ -7,7 +7,7 @@
 use super::evidence::{Sample, Tally};
 use super::report::Report;
 use super::share::Share;
-use super::verdict::{self, Fault};
+use super::verdict::{self, Comparison, Fault};
 use super::{Order, Phase, Record, RunId, short_hash};
 use crate::connection::keyspace::Revision;
 use crate::time::Moment;
@@ -22,6 +22,10 @@
 const END_TIME: Duration = Duration::from_secs(2);
 /// The number of good answers of the new version from which the evidence is enough.
 const GOOD_ANSWERS_MIN: u32 = 20;
+/// The number of failures from which a version is not shifted to, if the evidence is thin and a quarter or more of its
+/// answers are failures, and twice as many as usual. Without this, services with few requests could only try it out on all
+/// callers.
+const DOUBTFUL_FAILURES_MIN: u32 = 2;
 /// The number of requests without any good answer from which a version is not shifted to.
 const UNANSWERED_MAX: u32 = 5;
 /// How long the end of a shift waits for open requests to old targets, after all nodes have confirmed it.
@@ -194,10 +198,14 @@
     pub fn judge(&mut self, now: Moment) -> Option<Fault> {
         let totals = self.totals();
         let earliest = self.snapshots.front().map(|(_, sums)| sums);
-        let fault = totals.iter().find_map(|(route, all)| {
+        let comparisons = totals.iter().map(|(route, all)| {
             let earlier = earliest.and_then(|sums| sums.get(route));
-            verdict::judge(all, &all.since(&earlier.copied().unwrap_or_default()))
+            Comparison {
+                all: *all,
+                recent: all.since(&earlier.copied().unwrap_or_default()),
+            }
         });
+        let fault = verdict::judge(&comparisons.collect::<Vec<_>>());
         let is_due = self
             .snapshots
             .back()
@@ -255,12 +263,20 @@
         if left > SHIFT_TIME.min(duration / 2) {
             return Phase::Canary;
         }
-        let (good, total) = self.totals().values().fold((0, 0), |(good, total), tally| {
-            (good + tally.new.good(), total + tally.new.total())
-        });
+        let mut sum = Tally::default();
+        for tally in self.totals().values() {
+            sum.add(tally);
+        }
+        let (good, total, failed) = (sum.new.good(), sum.new.total(), sum.new.failed);
+        let is_usual = u64::from(failed) * u64::from(sum.old.total())
+            < 2 * u64::from(sum.old.failed) * u64::from(total);
+        let is_doubtful = good < GOOD_ANSWERS_MIN
+            && failed >= DOUBTFUL_FAILURES_MIN
+            && failed * 4 >= total
+            && !is_usual;
         let is_last = left <= LAST_SHIFT_TIME.min(duration / 4);
         let is_certain = good >= GOOD_ANSWERS_MIN && self.targets.new >= self.targets.old;
-        if good == 0 && total >= UNANSWERED_MAX {
+        if (good == 0 && total >= UNANSWERED_MAX) || (is_last && is_doubtful) {
             Phase::RolledBack
         } else if self.targets.new > 0 && (is_certain || is_last) {
             Phase::Shifting
--- a/src/rollout/share.rs
+++ b/src/rollout/share.rs
@@ -5,7 +5,7 @@
 pub const SHARE_USED: f64 = 0.7;
 /// The part of [`canary_slack`](super::Bounds::canary_slack) that canaries use, for the same reason: at 40 requests a second
 /// and a heartbeat of 300 ms, about 40 requests reach a version that fails only once all traffic goes to it.
-pub const SLACK_USED: f64 = 0.4;
+pub const SLACK_USED: f64 = 0.3;
 
 /// Counts the requests of a service at one node, and those of them that went to the new version.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
--- a/src/rollout/state.rs
+++ b/src/rollout/state.rs
@@ -504,12 +504,20 @@
         let Some(service) = self.names.get(&report.service).cloned() else {
             return;
         };
-        if let Some(run) = self.run_mut(&service)
-            && run.id == report.run
-            && run.hear(node, report, now)
-        {
+        let Some(run) = self.run_mut(&service) else {
+            return;
+        };
+        if run.id != report.run {
+            return;
+        }
+        let has_failures = report.routes.iter().any(|(_, tally)| tally.new.failed > 0);
+        if run.hear(node, report, now) {
             outputs.push(change(&service, run, None));
         }
+        if has_failures {
+            // A third of a second until the next tick is many requests while all of them go to the version.
+            judge(&service, run, now, outputs);
+        }
     }
 
     /// Judges the versions, and decides what this node writes.
@@ -520,13 +528,7 @@
             let Some(run) = &mut known.run else {
                 continue;
             };
-            if !run.phase.is_final() && !run.bad {
-                let fault = run.judge(now);
-                if fault.is_some() {
-                    run.bad = true;
-                    outputs.push(change(service, run, fault));
-                }
-            }
+            judge(service, run, now, outputs);
             let left = run.order.duration.saturating_sub(run.age(now));
             let last_served = &self.last_served;
             let awaited = last_served.keys().map(String::as_str);
@@ -601,6 +603,18 @@
     }
 }
 
+/// Judges the version of a run that has no verdict yet.
+fn judge(service: &Arc<str>, run: &mut Run, now: Moment, outputs: &mut Vec<Output>) {
+    if run.phase.is_final() || run.bad {
+        return;
+    }
+    let fault = run.judge(now);
+    if fault.is_some() {
+        run.bad = true;
+        outputs.push(change(service, run, fault));
+    }
+}
+
 fn change(service: &Arc<str>, run: &Run, fault: Option<Fault>) -> Output {
     let mut evidence = Tally::default();
     for tally in run.totals().values() {
--- a/src/rollout/verdict.rs
+++ b/src/rollout/verdict.rs
@@ -17,6 +17,8 @@
 /// The number of answers below which a version is not judged by its upper quartile, which short pauses of targets reach
 /// more easily.
 const ANSWERS_MIN_QUARTILE: u32 = 12;
+/// The number of answers of old targets below which times are not compared.
+const OLD_ANSWERS_MIN: u32 = 20;
 /// The number of half octaves by which a slow version is slower. Times of three ranges later are 2 to 4 times as long, and
 /// each time that is 2.9 times as long is at least three ranges later.
 const SLOW_RANGES: usize = 3;
@@ -32,53 +34,122 @@
     Slow,
 }
 
-/// Judges a version by the answers on one route, all of them and the recent ones. Recent answers show a version that was
-/// good at first.
-pub fn judge(all: &Tally, recent: &Tally) -> Option<Fault> {
-    // In the shift old targets get no requests, so recent answers are compared with their earlier ones.
-    let recent_old = if recent.old.total() >= 2 * ANSWERS_MIN_QUARTILE {
-        &recent.old
-    } else {
-        &all.old
-    };
-    let pairs = [(&all.new, &all.old), (&recent.new, recent_old)];
-    let is_one_target = all.failed_targets.is_power_of_two() && all.asked_targets.count_ones() > 1;
+/// The answers of both sides on one route: all of them, and the recent ones.
+#[derive(Debug, Clone, Copy)]
+pub struct Comparison {
+    /// The answers since the order.
+    pub all: Tally,
+    /// The answers of the last seconds, which show a version that was good at first.
+    pub recent: Tally,
+}
+
+impl Comparison {
+    /// Returns the recent answers with those of old targets that they are compared with. In the shift old targets get no
+    /// requests, so their earlier answers take their place.
+    fn recent_pair(&self) -> Pair {
+        let old = if self.recent.old.total() >= OLD_ANSWERS_MIN {
+            self.recent.old
+        } else {
+            self.all.old
+        };
+        Pair {
+            new: self.recent.new,
+            old,
+        }
+    }
+
+    const fn all_pair(&self) -> Pair {
+        Pair {
+            new: self.all.new,
+            old: self.all.old,
+        }
+    }
+}
+
+/// The answers of both sides in the same time on one route.
+#[derive(Debug, Clone, Copy)]
+struct Pair {
+    new: Answers,
+    old: Answers,
+}
+
+/// Judges a version by its answers on all routes.
+pub fn judge(routes: &[Comparison]) -> Option<Fault> {
+    let (mut failed, mut asked) = (0_u8, 0_u8);
+    for route in routes {
+        failed |= route.all.failed_targets;
+        asked |= route.all.asked_targets;
+    }
+    let is_one_target = failed.is_power_of_two() && asked.count_ones() > 1;
     let failed_min = if is_one_target {
         FAILED_BY_ONE_TARGET_MIN
     } else {
         FAILED_MIN
     };
-    let fails = pairs
-        .iter()
-        .any(|(new, old)| new.failed >= failed_min && fails_more(new, old));
-    if fails {
+    let all: Vec<Pair> = routes.iter().map(Comparison::all_pair).collect();
+    let recent: Vec<Pair> = routes.iter().map(Comparison::recent_pair).collect();
+    let fails = |pairs: &[Pair]| {
+        let samples = pairs.iter().map(|pair| Sample {
+            new: (pair.new.failed, pair.new.total()),
+            old: (pair.old.failed, pair.old.total()),
+        });
+        let samples: Vec<Sample> = samples.collect();
+        // One route may fail among many good ones, and few failures on each route may be many together.
+        let mut alone = samples.iter().map(std::slice::from_ref);
+        is_more_frequent(&samples, failed_min)
+            || alone.any(|sample| is_more_frequent(sample, failed_min))
+    };
+    if fails(&all) || fails(&recent) {
         return Some(Fault::Failures);
     }
-    let slow = pairs.iter().any(|(new, old)| is_slower(new, old));
+    let slow = all.iter().chain(&recent).any(is_slower);
     slow.then_some(Fault::Slow)
 }
 
-/// Compares the shares of failures by a test for two proportions, with a correction for small counts.
-fn fails_more(new: &Answers, old: &Answers) -> bool {
-    if old.total() == 0 {
-        return false;
+/// How many of the requests on each side have a property.
+#[derive(Debug, Clone, Copy)]
+struct Sample {
+    new: (u32, u32),
+    old: (u32, u32),
+}
+
+/// Tells whether a property is clearly more frequent on the new side, by the test of Mantel and Haenszel: each sample is
+/// compared in itself, and the differences are added. Requests without others to compare with do not count.
+fn is_more_frequent(samples: &[Sample], count_min: u32) -> bool {
+    let (mut count, mut usual, mut expected, mut variance) = (0, 0.0, 0.0, 0.0);
+    for sample in samples {
+        let (new_count, new_total) = sample.new;
+        let (old_count, old_total) = sample.old;
+        if new_total == 0 || old_total == 0 {
+            continue;
+        }
+        let (new_total, old_total) = (f64::from(new_total), f64::from(old_total));
+        let total = new_total + old_total;
+        let share = f64::from(new_count + old_count) / total;
+        count += new_count;
+        usual += new_total * f64::from(old_count) / old_total;
+        expected += new_total * share;
+        variance += new_total * old_total / total * share * (1.0 - share);
     }
-    let (new_total, old_total) = (f64::from(new.total()), f64::from(old.total()));
-    let (new_share, old_share) = (
-        f64::from(new.failed) / new_total,
-        f64::from(old.failed) / old_total,
-    );
-    let pooled = f64::from(new.failed + old.failed) / (new_total + old_total);
-    let spread = new_total.recip() + old_total.recip();
-    let error = (pooled * (1.0 - pooled) * spread).sqrt();
-    let difference = new_share - old_share - spread / 2.0;
-    new_share > 2.0 * old_share && difference > SCORE_MIN * error
+    // The half is the usual correction for counts, which are whole.
+    let excess = f64::from(count) - expected - 0.5;
+    count >= count_min && f64::from(count) > 2.0 * usual && excess > SCORE_MIN * variance.sqrt()
 }
 
-fn is_slower(new: &Answers, old: &Answers) -> bool {
-    if new.good() < ANSWERS_MIN || old.good() < ANSWERS_MIN {
+/// Tells whether the median or the upper quartile is several times as long. Answers from that range on must also be
+/// clearly more frequent than usual, as quartiles of few answers differ by chance.
+fn is_slower(pair: &Pair) -> bool {
+    let Pair { new, old } = pair;
+    if new.good() < ANSWERS_MIN || old.good() < OLD_ANSWERS_MIN {
         return false;
     }
-    let is_later = |quarter| new.times.quarter(quarter) >= old.times.quarter(quarter) + SLOW_RANGES;
+    let is_later = |quarter| {
+        let limit = old.times.quarter(quarter) + SLOW_RANGES;
+        let sample = Sample {
+            new: (new.times.count_from(limit), new.good()),
+            old: (old.times.count_from(limit), old.good()),
+        };
+        new.times.quarter(quarter) >= limit && is_more_frequent(&[sample], FAILED_MIN)
+    };
     is_later(2) || (new.good() >= ANSWERS_MIN_QUARTILE && is_later(3))
 }
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -15,7 +15,7 @@
 use redwinggrade::rollout::run::Targets;
 use redwinggrade::rollout::share::{Share, slack_part};
 use redwinggrade::rollout::state::{Event, Output, Rollouts, Side};
-use redwinggrade::rollout::verdict::{Fault, judge};
+use redwinggrade::rollout::verdict::{Comparison, Fault, judge};
 use redwinggrade::rollout::{Bounds, Order, Phase, Record, RunId};
 use redwinggrade::time::Moment;
 use redwinggrade::wire::Cause;
@@ -538,6 +538,26 @@
     }
 }
 
+/// Guards against bounds that hold only at a usual rate of requests.
+#[rstest]
+#[case::low(10.0, Behaviour::FailsAtOnce)]
+#[case::half(20.0, Behaviour::FailsAtOnce)]
+#[case::half_slow(20.0, Behaviour::Slow)]
+#[case::high(200.0, Behaviour::FailsAtOnce)]
+#[case::high_under_load(200.0, Behaviour::FailsUnderLoad)]
+#[case::high_slow(200.0, Behaviour::Slow)]
+#[case::highest(600.0, Behaviour::FailsAtOnce)]
+#[case::highest_under_load(600.0, Behaviour::FailsUnderLoad)]
+fn bounds_hold_at_other_rates(#[case] rate: f64, #[case] behaviour: Behaviour) {
+    for seed in 1..=3 {
+        let mut simulation = Simulation::new(24, behaviour, Trouble::None, seed);
+        simulation.rate = rate;
+        simulation.run();
+        assert_eq!(simulation.final_phase(), Some(Phase::RolledBack), "{seed}");
+        simulation.assert_exposure();
+    }
+}
+
 /// Guards against a good version that is rolled back for a fault of one of its targets.
 #[rstest]
 fn fault_of_one_target_does_not_count_against_version(#[values(3, 24)] nodes: usize) {
@@ -716,7 +736,27 @@
     #[case] fault: Option<Fault>,
 ) {
     let all = tally(new, old);
-    assert_eq!(judge(&all, &all), fault);
+    let comparison = Comparison { all, recent: all };
+    assert_eq!(judge(&[comparison]), fault);
+}
+
+/// Guards against a bad version whose failures are spread over many routes, and against one whose failures on one route
+/// drown in the good answers of others.
+#[test]
+fn judges_routes_together_and_alone() {
+    let compare = |all| Comparison { all, recent: all };
+    let spread = tally((4, 1, 30), (80, 0, 30));
+    assert_eq!(judge(&[compare(spread)]), None);
+    let spread = [0, 1, 2, 3].map(|number| {
+        let mut route = tally((4, 0, 30), (80, 0, 30));
+        route.record_new(&format!("t{number}"), Sample::Failed);
+        compare(route)
+    });
+    assert_eq!(judge(&spread), Some(Fault::Failures));
+    let failing = tally((0, 4, 30), (40, 0, 30));
+    let rough = tally((200, 0, 30), (400, 100, 30));
+    let drowned = [failing, rough].map(compare);
+    assert_eq!(judge(&drowned), Some(Fault::Failures));
 }
 
 /// Guards against a version that turns bad late, which all answers since the start still excuse.
@@ -725,8 +765,13 @@
     let early = tally((40, 0, 30), (400, 0, 30));
     let mut all = early;
     all.add(&tally((8, 0, 150), (80, 0, 30)));
-    assert_eq!(judge(&all, &all), None);
-    assert_eq!(judge(&all, &all.since(&early)), Some(Fault::Slow));
+    let whole = Comparison { all, recent: all };
+    assert_eq!(judge(&[whole]), None);
+    let comparison = Comparison {
+        all,
+        recent: all.since(&early),
+    };
+    assert_eq!(judge(&[comparison]), Some(Fault::Slow));
 }
 
 /// Guards against reports beyond their part of a datagram, and against counts that the encoding changes.
