Keep versions with doubtful failures from a shift when evidence is thin, and rewrite removed records

A node makes up to eight writes at once, as the roll-outs of a whole shard set need them within a second. 135 tests of the binaries rollout passed.

--- a/src/process/entry/rollouts.rs
+++ b/src/process/entry/rollouts.rs
@@ -85,7 +85,10 @@
                     item => self.reject(key, &item),
                 }
             }
-            (ItemKind::Rollout(_) | ItemKind::RolloutStatus(_), _) => None,
+            (ItemKind::Rollout(service), Change::Removed(_)) => {
+                Some(Event::RecordRemoved { service })
+            }
+            (ItemKind::RolloutStatus(_), _) => None,
             _ => return false,
         };
         if let Some(event) = event {
--- a/src/rollout/run.rs
+++ b/src/rollout/run.rs
@@ -273,17 +273,17 @@
         if left > SHIFT_TIME.min(duration / 2) {
             return Phase::Canary;
         }
+        let totals = self.totals();
         let mut sum = Tally::default();
-        for tally in self.totals().values() {
+        for tally in totals.values() {
             sum.add(tally);
         }
         let (good, total, failed) = (sum.new.good(), sum.new.total(), sum.new.failed);
         let is_usual = u64::from(failed) * u64::from(sum.old.total())
             < 2 * u64::from(sum.old.failed) * u64::from(total);
-        let is_doubtful = good < GOOD_ANSWERS_MIN
-            && failed >= DOUBTFUL_FAILURES_MIN
-            && failed * 4 >= total
-            && !is_usual;
+        let is_often = failed >= DOUBTFUL_FAILURES_MIN && failed * 4 >= total && !is_usual;
+        let is_doubtful =
+            good < GOOD_ANSWERS_MIN && (is_often || verdict::is_doubtful(totals.values()));
         let is_last = left <= LAST_SHIFT_TIME.min(duration / 4);
         let is_certain = good >= GOOD_ANSWERS_MIN && self.targets.new >= self.targets.old;
         if (good == 0 && total >= UNANSWERED_MAX) || (is_last && is_doubtful) {
--- a/src/rollout/state.rs
+++ b/src/rollout/state.rs
@@ -26,7 +26,7 @@
 /// The delay after a failed write.
 const WRITE_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// The number of writes of one node that run at the same time. A store that is slow holds no more connections for them.
-const WRITES_MAX: usize = 4;
+const WRITES_MAX: usize = 8;
 /// How long a node that served callers may be silent until the end of a shift no longer waits for it.
 const SILENCE_MAX: Duration = Duration::from_secs(10);
 /// The time before the deadline from which only nodes that are heard are waited for. An order of 12 s would otherwise miss
@@ -70,6 +70,11 @@
         /// The record.
         record: Record,
     },
+    /// The store holds no record any more.
+    RecordRemoved {
+        /// The service.
+        service: Arc<str>,
+    },
     /// The store has come back from an older copy and may lack records.
     Restored,
     /// Another node's reports have arrived.
@@ -337,6 +342,17 @@
             Event::Record { service, record } => {
                 self.on_record(&service, record, now, &mut outputs);
             }
+            Event::RecordRemoved { service } => {
+                if let Some(known) = self.services.get_mut(&service) {
+                    known.record = None;
+                    match &mut known.run {
+                        Some(run) => run.stored = None,
+                        None => {
+                            self.services.remove(&service);
+                        }
+                    }
+                }
+            }
             Event::Restored => {
                 for known in self.services.values_mut() {
                     if let Some(run) = &mut known.run {
--- a/src/rollout/verdict.rs
+++ b/src/rollout/verdict.rs
@@ -12,6 +12,8 @@
 /// The standard score from which failures are clearly more frequent. Many services are judged several times a second, so a
 /// score that chance reaches once in a hundred cases would roll back good versions.
 const SCORE_MIN: f64 = 3.0;
+/// The standard score from which failures are a doubt that keeps a service with few requests from a shift.
+const DOUBT_SCORE_MIN: f64 = 2.0;
 /// The number of answers below which a version is not judged by its median time.
 const ANSWERS_MIN: u32 = 5;
 /// The number of answers below which a version is not judged by its upper quartile, which short pauses of targets reach
@@ -73,31 +75,49 @@
     old: Answers,
 }
 
-/// Judges a version by its answers on all routes.
-pub fn judge(routes: &[Comparison]) -> Option<Fault> {
-    let (mut failed, mut asked) = (0_u8, 0_u8);
-    for route in routes {
-        failed |= route.all.failed_targets;
-        asked |= route.all.asked_targets;
+impl Pair {
+    fn failures(&self) -> Sample {
+        Sample {
+            new: (self.new.failed, self.new.total()),
+            old: (self.old.failed, self.old.total()),
+        }
     }
-    let is_one_target = failed.is_power_of_two() && asked.count_ones() > 1;
-    let failed_min = if is_one_target {
+}
+
+/// Returns the number of failures from which they count.
+fn failed_min<'a>(routes: impl Iterator<Item = &'a Tally>) -> u32 {
+    let (failed, asked) = routes.fold((0_u8, 0_u8), |(failed, asked), tally| {
+        (failed | tally.failed_targets, asked | tally.asked_targets)
+    });
+    if failed.is_power_of_two() && asked.count_ones() > 1 {
         FAILED_BY_ONE_TARGET_MIN
     } else {
         FAILED_MIN
-    };
+    }
+}
+
+/// Tells whether failures since the order, given by route, make a version doubtful although they do not suffice for a
+/// verdict.
+pub fn is_doubtful<'a>(routes: impl Iterator<Item = &'a Tally> + Clone) -> bool {
+    let failed_min = failed_min(routes.clone());
+    let samples = routes.map(|tally| {
+        let (new, old) = (tally.new, tally.old);
+        Pair { new, old }.failures()
+    });
+    is_more_frequent(&samples.collect::<Vec<_>>(), failed_min, DOUBT_SCORE_MIN)
+}
+
+/// Judges a version by its answers on all routes.
+pub fn judge(routes: &[Comparison]) -> Option<Fault> {
+    let failed_min = failed_min(routes.iter().map(|route| &route.all));
     let all: Vec<Pair> = routes.iter().map(Comparison::all_pair).collect();
     let recent: Vec<Pair> = routes.iter().map(Comparison::recent_pair).collect();
     let fails = |pairs: &[Pair]| {
-        let samples = pairs.iter().map(|pair| Sample {
-            new: (pair.new.failed, pair.new.total()),
-            old: (pair.old.failed, pair.old.total()),
-        });
-        let samples: Vec<Sample> = samples.collect();
+        let samples: Vec<Sample> = pairs.iter().map(Pair::failures).collect();
         // One route may fail among many good ones, and few failures on each route may be many together.
         let mut alone = samples.iter().map(std::slice::from_ref);
-        is_more_frequent(&samples, failed_min)
-            || alone.any(|sample| is_more_frequent(sample, failed_min))
+        is_more_frequent(&samples, failed_min, SCORE_MIN)
+            || alone.any(|sample| is_more_frequent(sample, failed_min, SCORE_MIN))
     };
     if fails(&all) || fails(&recent) {
         return Some(Fault::Failures);
@@ -115,7 +135,7 @@
 
 /// Tells whether a property is clearly more frequent on the new side, by the test of Mantel and Haenszel: each sample is
 /// compared in itself, and the differences are added. Requests without others to compare with do not count.
-fn is_more_frequent(samples: &[Sample], count_min: u32) -> bool {
+fn is_more_frequent(samples: &[Sample], count_min: u32, score_min: f64) -> bool {
     let (mut count, mut usual, mut expected, mut variance) = (0, 0.0, 0.0, 0.0);
     for sample in samples {
         let (new_count, new_total) = sample.new;
@@ -133,7 +153,7 @@
     }
     // The half is the usual correction for counts, which are whole.
     let excess = f64::from(count) - expected - 0.5;
-    count >= count_min && f64::from(count) > 2.0 * usual && excess > SCORE_MIN * variance.sqrt()
+    count >= count_min && f64::from(count) > 2.0 * usual && excess > score_min * variance.sqrt()
 }
 
 /// Tells whether the median or the upper quartile is several times as long. Answers from that range on must also be
@@ -149,7 +169,7 @@
             new: (new.times.count_from(limit), new.good()),
             old: (old.times.count_from(limit), old.good()),
         };
-        new.times.quarter(quarter) >= limit && is_more_frequent(&[sample], FAILED_MIN)
+        new.times.quarter(quarter) >= limit && is_more_frequent(&[sample], FAILED_MIN, SCORE_MIN)
     };
     is_later(2) || (new.good() >= ANSWERS_MIN_QUARTILE && is_later(3))
 }
