Merge roll-outs

An order moves a service to targets of another version by canaries; nodes share the evidence in their heartbeats, and one of them decides and writes the outcome to the store with conditional writes. Off unless the settings have rollout bounds.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod process;
 pub mod quota;
 pub mod request;
+pub mod rollout;
 pub mod tenancy;
 pub mod time;
 pub mod version;
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -6,6 +6,7 @@
 
 mod control;
 mod report;
+mod rollouts;
 mod serve;
 
 use std::collections::HashMap;
@@ -38,6 +39,8 @@
 use crate::overload::share::Claim;
 use crate::quota::{self, Quotas};
 use crate::request::latency::LatencyEstimator;
+use crate::rollout::Bounds;
+use crate::rollout::state::Rollouts;
 use crate::tenancy::Credential;
 use crate::time::{Clock, Moment};
 use crate::version::item::{Codec, Node};
@@ -74,6 +77,8 @@
     pub memory: memory::Budget,
     /// How the node estimates the slowness of targets.
     pub balancing: balancing::Mode,
+    /// The bounds on the exposure to versions that are rolled out; absent if roll-outs are off.
+    pub rollout: Option<Bounds>,
 }
 
 /// The adapters through which an entry instance uses a platform.
@@ -259,6 +264,7 @@
             rand::rng().random(),
         );
         placement.set_balancing(config.balancing);
+        placement.rollouts = Rollouts::open(config.rollout, &config.node.name);
         let mirrors = codec.prefixes().iter().map(|&prefix| Mirror::open(prefix));
         let shared = Arc::new(Shared {
             clock,
--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -9,6 +9,7 @@
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 
 use super::report::millis_rounded;
+use super::rollouts::RolloutDriver;
 use super::{Shared, heartbeat_address};
 use crate::connection::keyspace::{self, Freshness, Keyspace, Revision};
 use crate::connection::mirror::{self, Update};
@@ -111,6 +112,7 @@
 
 struct State<P> {
     shared: Arc<Shared<P>>,
+    rollouts: RolloutDriver<P>,
     codec: Arc<dyn Codec>,
     follower: Follower,
     socket: Socket,
@@ -196,6 +198,7 @@
         myself.send_interval(HEARTBEAT_INTERVAL, || Message::Tick);
         shared.meters.store_up.set(1);
         Ok(State {
+            rollouts: RolloutDriver::open(&shared, &keyspace, &codec),
             shared,
             codec,
             follower,
@@ -225,6 +228,7 @@
             Message::Store(notification) => state.handle_notification(notification, &myself),
             Message::Heartbeat(heartbeat, reports) => {
                 state.record_reports(&heartbeat.node.name, &reports);
+                state.rollouts.hear(&heartbeat.node.name, reports.rollouts);
                 state.handle_heartbeat(heartbeat, &myself);
             }
             Message::PeerUpdate {
@@ -272,6 +276,7 @@
                 );
                 // Answers prove nothing about the settings before the copy has been read.
                 self.watch_confirmed = false;
+                self.rollouts.reset_stored();
             }
             Notification::Failed => {}
             Notification::Confirmed => {
@@ -432,6 +437,9 @@
     /// Applies accepted changes of the mirrors to the route table, the placement and the roster.
     fn apply_changes(&self, changes: Vec<Change>, now: Moment) {
         for change in changes {
+            if self.rollouts.apply(&change, now) {
+                continue;
+            }
             match change {
                 Change::Put(key, value) => {
                     let item = self.codec.decode(&key, &value);
@@ -501,7 +509,14 @@
                     self.apply_effect(effect);
                 }
             }
-            (kind, Item::Unreadable(cause)) if kind != ItemKind::Other => {
+            (
+                ItemKind::RolloutOrder(_)
+                | ItemKind::Rollout(_)
+                | ItemKind::RolloutStatus(_)
+                | ItemKind::Other,
+                Item::Unreadable(_),
+            ) => {}
+            (_, Item::Unreadable(cause)) => {
                 self.shared.meters.unreadable_items.inc();
                 log::warn!(key, cause; "item unreadable, last good one kept");
             }
@@ -533,7 +548,11 @@
             ItemKind::Node(name) => {
                 self.shared.roster().remove_record(&name, now);
             }
-            ItemKind::Settings | ItemKind::Other => {}
+            ItemKind::Settings
+            | ItemKind::RolloutOrder(_)
+            | ItemKind::Rollout(_)
+            | ItemKind::RolloutStatus(_)
+            | ItemKind::Other => {}
         }
     }
 
@@ -658,6 +677,7 @@
         let reports = Reports {
             demands: self.shared.quotas().report(now),
             loads: self.shared.placement().report_loads(now),
+            rollouts: self.rollouts.report(),
         };
         let own = self.shared.config.node.heartbeat;
         let roster = self.shared.roster();
@@ -687,10 +707,12 @@
         self.update_membership(now);
         self.share_bounds(now);
         self.share_quotas(now);
+        self.rollouts.tick(self.membership.serves, now);
         self.send_heartbeats(self.rounds);
         self.shared.roster().expire(now);
         self.shared.pool.close_unusable(now);
         let due = self.reconciliation.due(now);
+        let due = self.rollouts.without_orders(due);
         self.apply_changes(due, now);
         let effects = self.shared.placement().registry.expire(now);
         if !effects.is_empty() {
--- a/src/process/entry/serve.rs
+++ b/src/process/entry/serve.rs
@@ -23,6 +23,7 @@
     Action, Event, Fanout, Plan, REPLY_MARGIN, REPLY_MARGIN_OPEN_CONNECTION,
 };
 use crate::request::reply::{FailureCause, Invalid, Outcome, Reason, Verdict};
+use crate::rollout::evidence::Sample;
 use crate::tenancy::Sender;
 use crate::time::Moment;
 use crate::version::route::{Destination, Kind, Route};
@@ -296,20 +297,35 @@
             shared,
             target: self.target,
             observation: Observation::NoResult,
+            trial: None,
         };
         let (endpoint, stats) = {
             let placement = shared.placement();
-            let endpoint = placement.registry.get(self.target).map(|target| Endpoint {
-                key: self.target,
-                name: Arc::clone(&target.name),
-                address: target.report.address,
-                dedicated: self.route.kind == Kind::NonIdempotent,
+            let endpoint = placement.registry.get(self.target).map(|target| {
+                let endpoint = Endpoint {
+                    key: self.target,
+                    name: Arc::clone(&target.name),
+                    address: target.report.address,
+                    dedicated: self.route.kind == Kind::NonIdempotent,
+                };
+                let version = Arc::clone(&target.report.version);
+                (endpoint, version, target.cold_until > start)
             });
             (endpoint, placement.stats(self.target, start))
         };
-        let Some(endpoint) = endpoint else {
+        let Some((endpoint, version, is_cold)) = endpoint else {
             return (self.index, Outcome::NotRun(FailureCause::Unregistered));
         };
+        let trial = guard.trial.insert(Trial {
+            service: Arc::clone(&self.service),
+            route: Arc::clone(&self.route.name),
+            target: Arc::clone(&endpoint.name),
+            version,
+            is_cold,
+            start,
+            sample: None,
+            is_cancelled: true,
+        });
         self.log_sent(&call, &endpoint, stats, start);
         let result = shared
             .pool
@@ -317,6 +333,7 @@
             .await;
         let now = shared.clock.now();
         let took = now.since(start);
+        trial.record(&result.outcome, took);
         guard.observation =
             Option::<Observation>::from(&result.outcome).unwrap_or(Observation::Answered {
                 took,
@@ -429,6 +446,41 @@
     }
 }
 
+/// What a subrequest shows about the version of its target.
+struct Trial {
+    service: Arc<str>,
+    route: Arc<str>,
+    target: Arc<str>,
+    version: Arc<str>,
+    is_cold: bool,
+    start: Moment,
+    /// The result; absent if the subrequest was cancelled or did not run.
+    sample: Option<Sample>,
+    is_cancelled: bool,
+}
+
+impl Trial {
+    fn record(&mut self, outcome: &Outcome, took: Duration) {
+        self.is_cancelled = false;
+        self.sample = match outcome {
+            Outcome::Failed(answer) if answer.status.is_server_error() => Some(Sample::Failed),
+            Outcome::Succeeded(_) | Outcome::Failed(_) if self.is_cold => Some(Sample::GoodCold),
+            Outcome::Succeeded(_) | Outcome::Failed(_) => Some(Sample::Good(took)),
+            Outcome::Lost(_) => Some(Sample::Failed),
+            // A refusal shows the load of a target, and not its version.
+            Outcome::NotRun(_) => None,
+        };
+    }
+
+    /// Returns the result. A subrequest that was cancelled because another answer came first counts if it was slow.
+    fn sample(&self, now: Moment) -> Option<Sample> {
+        let waited = now.since(self.start);
+        let is_slow = self.is_cancelled && !self.is_cold && waited >= HEDGE_LOSER_TIMEOUT;
+        self.sample
+            .or_else(|| is_slow.then_some(Sample::Good(waited)))
+    }
+}
+
 /// Returns the name of a cause in log lines and metrics, which do not distinguish retries from restarts.
 const fn cause_name(cause: wire::Cause) -> &'static str {
     match cause {
@@ -443,13 +495,26 @@
     shared: &'a Shared<P>,
     target: TargetKey,
     observation: Observation,
+    trial: Option<Trial>,
 }
 
 impl<P> Drop for OutcomeGuard<'_, P> {
     fn drop(&mut self) {
         let now = self.shared.clock.now();
-        self.shared
-            .placement()
-            .observe(self.target, self.observation, now);
+        let mut placement = self.shared.placement();
+        placement.observe(self.target, self.observation, now);
+        let Some((trial, sample)) = self
+            .trial
+            .as_ref()
+            .and_then(|trial| Some((trial, trial.sample(now)?)))
+        else {
+            return;
+        };
+        let target = (&*trial.target, &*trial.version);
+        let rollouts = &mut placement.rollouts;
+        if rollouts.record_result(&trial.service, &trial.route, target, sample) {
+            let is_failed = sample == Sample::Failed;
+            self.shared.meters.count_rollout_answer(is_failed);
+        }
     }
 }
--- a/src/process/heartbeat.rs
+++ b/src/process/heartbeat.rs
@@ -10,6 +10,7 @@
 use super::roster::Heartbeat;
 use crate::balancing::Load;
 use crate::quota::Demand;
+use crate::rollout::report::Report;
 
 /// Maximum size of a datagram. A heartbeat without reports takes about 200 bytes.
 pub const DATAGRAM_MAX_BYTES: usize = 1_200;
@@ -26,12 +27,15 @@
     /// The targets that are much slower than usual, and those that no longer are.
     #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
     pub loads: Vec<Load>,
+    /// The roll-outs that the node takes part in.
+    #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
+    pub rollouts: Vec<Report>,
 }
 
 impl Reports {
     /// Tells whether there is nothing to report, in which case nothing follows the heartbeat.
     pub const fn is_empty(&self) -> bool {
-        self.demands.is_empty() && self.loads.is_empty()
+        self.demands.is_empty() && self.loads.is_empty() && self.rollouts.is_empty()
     }
 }
 
--- a/src/process/meters.rs
+++ b/src/process/meters.rs
@@ -56,6 +56,13 @@
     pub outcome: &'static str,
 }
 
+/// Label of the roll-outs in a phase.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct PhaseLabel {
+    /// The phase, for example `canary`.
+    pub phase: String,
+}
+
 /// All metrics of an entry instance; clones share the same values.
 #[derive(Debug, Clone)]
 pub struct Meters {
@@ -102,6 +109,10 @@
     pub memory_capacity: Gauge,
     /// What was refused or given up because the memory for callers was used up.
     pub memory_refusals: Family<MemoryRefusalLabel, Counter>,
+    /// Roll-outs of services, by phase.
+    pub rollouts: Family<PhaseLabel, Gauge>,
+    /// Answers of targets of versions that are rolled out, by outcome.
+    pub rollout_answers: Family<OutcomeLabels, Counter>,
     /// Requests that are being served.
     pub running_requests: Gauge,
     /// The time from sending a request, as far as the node knows it, to its answer, in seconds.
@@ -140,6 +151,8 @@
             memory_held: Gauge::default(),
             memory_capacity: Gauge::default(),
             memory_refusals: Family::default(),
+            rollouts: Family::default(),
+            rollout_answers: Family::default(),
             running_requests: Gauge::default(),
             request_time: latency_histogram(),
             subrequest_time: latency_histogram(),
@@ -244,6 +257,16 @@
             "What was refused or given up for lack of memory or connections",
             self.memory_refusals.clone(),
         );
+        registry.register(
+            "rollouts",
+            "Roll-outs of services, by phase",
+            self.rollouts.clone(),
+        );
+        registry.register(
+            "rollout_answers",
+            "Answers of targets of versions that are rolled out, by outcome",
+            self.rollout_answers.clone(),
+        );
         registry.register(
             "running_requests",
             "Requests that run now",
@@ -297,6 +320,22 @@
         self.subrequest_time.observe(took.as_secs_f64());
     }
 
+    /// Counts a call to the platform's store.
+    pub fn count_store_call(&self, call: &'static str, is_ok: bool) {
+        let outcome = if is_ok { "ok" } else { "failed" };
+        let labels = StoreCallLabels { call, outcome };
+        self.store_calls.get_or_create(&labels).inc();
+    }
+
+    /// Counts an answer of a target whose version is rolled out.
+    pub fn count_rollout_answer(&self, failed: bool) {
+        let labels = OutcomeLabels {
+            outcome: if failed { "failed" } else { "done" },
+            reason: String::new(),
+        };
+        self.rollout_answers.get_or_create(&labels).inc();
+    }
+
     /// Counts a probe of a target; `reached` tells whether a connection could be opened.
     pub fn count_probe(&self, reached: bool) {
         let outcome = if reached { "reached" } else { "failed" };
--- a/tests/heartbeat.rs
+++ b/tests/heartbeat.rs
@@ -53,6 +53,7 @@
             per_second: 1.5,
         }],
         loads: vec![Load(1, 12), Load(u32::MAX, u8::MAX)],
+        rollouts: Vec::new(),
     };
     let bytes = encode(&heartbeat(), &reports);
     assert_eq!(decode(&bytes), Some((heartbeat(), reports)));
