Keep the parts of silent nodes until nodes without a majority use less

A node that is cut off goes on with an even part, so the others must not divide that part after 3 s: with a third of the nodes cut off, the sum would be 1.33 times the quota. Silent nodes keep their part for 30 s, and after 25 s a node that hears less than half uses 0.3 of its even part.

--- a/src/quota/nodes.rs
+++ b/src/quota/nodes.rs
@@ -10,9 +10,16 @@
 
 /// A node counts as heard for this time after its last heartbeat, of which there are three in a second.
 const HEARD_PERIOD: Duration = Duration::from_secs(1);
-/// How long a node keeps its part after it has left the serving nodes. A silent node leaves them after 1 s, so its part
-/// is divided among the others after 3 s, when it has long used no more than that part.
+/// How long a node that is heard keeps its part after it has left the serving nodes.
 const RELEASE_DELAY: Duration = Duration::from_secs(2);
+/// How long a silent node keeps its part. It may be cut off from the others and serve callers all the same, so its part
+/// is divided only when it has long used no more than [`LONG_MINORITY_SHARE`] of it.
+const SILENT_RELEASE_DELAY: Duration = Duration::from_secs(30);
+/// How long a node without a majority uses a whole even part.
+const MINORITY_PERIOD: Duration = Duration::from_secs(25);
+/// The part of an even share that a node uses after [`MINORITY_PERIOD`]. Fewer than half of the nodes are cut off from
+/// a majority, so all of them together use less than 0.15 of the quota.
+const LONG_MINORITY_SHARE: f64 = 0.3;
 /// How long a node that has started to serve uses no more than an even part. Within this time all nodes know it.
 const JOIN_PERIOD: Duration = Duration::from_millis(1_500);
 /// How long a node that knows no other node takes the expected number of nodes for the true one.
@@ -66,6 +73,8 @@
     standing: Standing,
     /// Since when this node serves callers.
     serving_since: Option<Moment>,
+    /// Since when this node has heard less than half of the members, so that others may be a majority.
+    outnumbered_since: Option<Moment>,
     /// The number of members that are heard.
     heard_members: usize,
     /// The demand of each tenant at the members that are heard.
@@ -85,6 +94,7 @@
             heard: BTreeMap::new(),
             standing: Standing::Joining,
             serving_since: None,
+            outnumbered_since: None,
             heard_members: 0,
             totals: HashMap::new(),
             expected: expected.clamp(1, EXPECTED_NODES_MAX),
@@ -194,14 +204,16 @@
         // A node that hears no majority cannot tell failed nodes from those that it is cut off from, which may use the
         // whole quota. It keeps all of them, except nodes that are heard and have left the serving nodes.
         self.members.retain(|name, member| {
-            let has_left = now.since(member.listed_at) >= RELEASE_DELAY;
+            let left_for = now.since(member.listed_at);
             let heard_since = heard
                 .get(name)
                 .is_some_and(|it| it.at > member.listed_at + HEARD_PERIOD);
-            !has_left || !(has_majority || heard_since)
+            let is_released = heard_since && left_for >= RELEASE_DELAY
+                || has_majority && left_for >= SILENT_RELEASE_DELAY;
+            !is_released
         });
         let members = &self.members;
-        heard.retain(|name, it| members.contains_key(name) || now.since(it.at) < RELEASE_DELAY * 2);
+        heard.retain(|name, it| members.contains_key(name) || now.since(it.at) < 2 * RELEASE_DELAY);
         self.heard_members = members.keys().filter(|name| is_heard(heard, name)).count();
         self.serving_since = serves.then(|| self.serving_since.unwrap_or(now));
         let has_majority = 2 * (self.heard_members + 1) > self.members.len() + 1;
@@ -212,6 +224,9 @@
             Some(_) => Standing::Minority,
         };
         self.sum_demands();
+        let is_outnumbered = 2 * (self.heard_members + 1) < self.members.len() + 1;
+        self.outnumbered_since = (standing == Standing::Minority && is_outnumbered)
+            .then(|| self.outnumbered_since.unwrap_or(now));
         let previous = std::mem::replace(&mut self.standing, standing);
         (previous != standing).then_some(standing)
     }
@@ -232,7 +247,12 @@
         let share = match self.standing {
             Standing::Majority if now.since(self.now) >= HEARD_PERIOD => even_share,
             Standing::Standby => even_share * STANDBY_SHARE,
-            Standing::Joining | Standing::Minority => even_share,
+            Standing::Joining | Standing::Minority => match self.outnumbered_since {
+                Some(since) if now.since(since) >= MINORITY_PERIOD => {
+                    even_share * LONG_MINORITY_SHARE
+                }
+                _ => even_share,
+            },
             Standing::Majority => {
                 let heard = self.heard_members as f64 + 1.0;
                 let floor = even / heard;
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -11,6 +11,7 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
+use redwinggrade::process::heartbeat::Reports;
 use redwinggrade::process::roster::{
     HEARTBEAT_INTERVAL, HEARTBEAT_TIMEOUT, STANDBY_INTERVAL_ROUNDS,
 };
@@ -383,6 +384,7 @@
 #[derive(Debug, Clone, Copy)]
 enum Fault {
     CutOff,
+    Third,
     Halves,
     MassKill(f64),
     RestartOne,
@@ -391,11 +393,13 @@
     LostReports,
     DifferentViews,
     Moves,
+    Pause,
 }
 
 /// Guards against parts that exceed the quota in sum while nodes do not know of each other.
 #[rstest]
 #[case(Fault::CutOff)]
+#[case(Fault::Third)]
 #[case(Fault::Halves)]
 #[case(Fault::MassKill(0.55))]
 #[case(Fault::MassKill(0.68))]
@@ -405,6 +409,7 @@
 #[case(Fault::LostReports)]
 #[case(Fault::DifferentViews)]
 #[case(Fault::Moves)]
+#[case(Fault::Pause)]
 fn nodes_keep_the_bound_in_every_window(
     #[case] fault: Fault,
     #[values(6, 24)] nodes: usize,
@@ -418,6 +423,14 @@
     cluster.run(Duration::from_secs(7));
     match fault {
         Fault::CutOff => cluster.groups[0] = 1,
+        Fault::Third => {
+            // The others divide the part of the silent nodes meanwhile.
+            for node in 0..nodes / 3 {
+                cluster.groups[node] = 1;
+            }
+            cluster.scatter_callers(nodes * 2);
+            cluster.run(Duration::from_secs(40));
+        }
         Fault::Halves => {
             for node in 0..nodes / 2 {
                 cluster.groups[node] = 1;
@@ -438,6 +451,12 @@
         }
         Fault::LostReports => cluster.loss = 0.3,
         Fault::DifferentViews => cluster.unlisted = vec![(0, 1), (2, 3)],
+        Fault::Pause => {
+            // Paused processes keep their tokens while the others use their part.
+            (0..nodes / 3).for_each(|node| cluster.kill(node));
+            cluster.run(Duration::from_secs(8));
+            (0..nodes / 3).for_each(|node| cluster.nodes[node].is_running = true);
+        }
         Fault::Moves => {
             for _ in 0..20 {
                 cluster.scatter_callers(2);
@@ -488,3 +507,65 @@
     assert!(share <= 0.1, "{share} of stray requests refused");
     cluster.assert_bounds();
 }
+
+/// Guards against refused callers that return together, or to a node that has no token for them yet.
+#[rstest]
+fn callers_that_return_when_told_to_are_admitted(#[values(1, 6)] nodes: usize) {
+    let mut cluster = Cluster::open(nodes, 0, 7);
+    for tenant in &mut cluster.tenants {
+        tenant.factor = 0.0;
+    }
+    cluster.run(Duration::from_secs(12));
+    let (name, limit) = (Arc::from("burst"), cluster.tenants[0].limit);
+    let mut told: Vec<Moment> = Vec::new();
+    for _ in 0..80 {
+        if let Err(throttled) = cluster.nodes[0].quotas.admit(&name, limit, cluster.now) {
+            told.push(cluster.now + throttled.retry_after);
+        }
+    }
+    assert!(told.len() > 40, "{} refused", told.len());
+    let soon = cluster.now + Duration::from_secs(4);
+    let mut returns: Vec<Moment> = told.into_iter().filter(|at| *at <= soon).collect();
+    returns.sort_unstable();
+    assert!(returns.len() > 20, "{} told to return soon", returns.len());
+    assert!(
+        returns.windows(2).all(|pair| pair[0] < pair[1]),
+        "callers return together"
+    );
+    let all = returns.len();
+    let mut refused = 0;
+    for at in returns {
+        cluster.run(cluster.now.until(at));
+        let result = cluster.nodes[0]
+            .quotas
+            .admit(&name, limit, at.max(cluster.now));
+        refused += usize::from(result.is_err());
+    }
+    println!("{refused} of {all} refused again");
+    assert!(refused * 10 <= all, "{refused} of {all} refused again");
+}
+
+/// Guards against reports that leave no room in a datagram, and against state that grows with the tenants.
+#[test]
+fn reports_and_buckets_are_bounded() {
+    let mut quotas = Quotas::open(BOUND, 1, 1, Moment::ZERO);
+    let limit = Limit {
+        per_second: 3.0,
+        burst: 3.0,
+    };
+    for tenant in 0..10_000 {
+        let name = Arc::from(format!("tenant {tenant}"));
+        for _ in 0..3 {
+            let _admitted_or_not = quotas.admit(&name, limit, Moment::from_millis(tenant));
+        }
+    }
+    assert!(quotas.bucket_count() < 10_000);
+    let now = Moment::from_millis(10_000);
+    let reports = Reports {
+        demands: quotas.report(now),
+    };
+    let bytes = rmp_serde::to_vec_named(&reports).expect("reports encode");
+    assert!(bytes.len() <= 400, "{} bytes", bytes.len());
+    quotas.set_nodes(std::iter::empty(), true, 0, now + Duration::from_mins(2));
+    assert_eq!(quotas.bucket_count(), 0);
+}
