--- a/src/quota/mod.rs
+++ b/src/quota/mod.rs
@@ -98,10 +98,10 @@
 const DEMAND_MIN: f64 = 0.02;
 /// The share of the overshoot by which the divided rate exceeds the quota. It makes up for the small parts that nodes
 /// without demand keep; the rest of the overshoot covers reports that arrive late.
-const OVERSHOOT_RATE_SHARE: f64 = 0.5;
+const OVERSHOOT_RATE_SHARE: f64 = 0.3;
 /// The share of the slack that is added to the burst. The rest covers the least token of each node, processes that
 /// have started again, and nodes that join.
-const SLACK_BURST_SHARE: f64 = 0.4;
+const SLACK_BURST_SHARE: f64 = 0.3;
 /// The share of the rate that is divided evenly, so that a node whose demand is not announced yet has some part.
 const EVEN_SHARE: f64 = 0.05;
 /// A tenant whose demand exceeds its rate by more than this many requests per second counts as over its quota. One
