--- a/src/process/entry/serve.rs
+++ b/src/process/entry/serve.rs
@@ -91,14 +91,14 @@
         if deadline <= now {
             return refused(Reason::ReadLate);
         }
-        let tenant = tenant_limit(&request);
-        if let Some((tenant, limit)) = tenant
-            && let Err(Throttled { retry_after }) = shared.quotas().admit(tenant, limit, now)
+        let tenant = tenant_limit(&request).map(|(name, limit)| (Arc::clone(name), limit));
+        if let Some((tenant, limit)) = &tenant
+            && let Err(Throttled { retry_after }) = shared.quotas().admit(tenant, *limit, now)
         {
             return Verdict::Throttled { retry_after };
         }
         let refund = || {
-            if let Some((tenant, _)) = tenant {
+            if let Some((tenant, _)) = &tenant {
                 shared.quotas().refund(tenant);
             }
         };
@@ -129,7 +129,7 @@
                 Place::Later => REPLY_MARGIN_OPEN_CONNECTION,
             },
         };
-        let verdict = run_fanout(Arc::clone(shared), plan, request.call.clone(), report).await;
+        let verdict = run_fanout(Arc::clone(shared), plan, request.call, report).await;
         if matches!(verdict, Verdict::Refused { .. }) {
             refund();
         }
