--- a/src/process/entry/serve.rs
+++ b/src/process/entry/serve.rs
@@ -127,7 +127,7 @@
             return Verdict::Throttled { retry_after };
         }
         let refund = || {
-            if let Some((tenant, _)) = tenant {
+            if let Some((tenant, _)) = &tenant {
                 shared.quotas().refund(tenant);
             }
         };
