--- a/src/balancing/mod.rs
+++ b/src/balancing/mod.rs
@@ -52,7 +52,7 @@
 const TRIAL_SHARE: f64 = 0.02;
 /// Minimum share of a report that a node takes into account. The share differs between nodes for each target, so that
 /// they do not all return to a target at the same time.
-const HEED_MIN: f64 = 0.5;
+const REPORT_WEIGHT_MIN: f64 = 0.5;
 /// Maximum ratio of an answer's time to the expected time that counts.
 const RATIO_MAX: f64 = 20.0;
 /// The units of a reported ratio in 1.0.
@@ -80,7 +80,7 @@
 #[derive(Debug)]
 pub struct Loads {
     /// The hash of this node's name.
-    node: u64,
+    node_hash: u64,
     evidence: SecondaryMap<TargetKey, Evidence>,
     keys: HashMap<u32, TargetKey>,
     /// The expected time of the last answer.
@@ -93,7 +93,7 @@
     /// The hash of the target's name.
     name: u32,
     /// The share of the slowness that this node takes into account.
-    heed: f64,
+    weight: f64,
     /// The number of slow answers since the last one that was not slow.
     slow_answers: u32,
     /// When the first and the last of them came.
@@ -147,7 +147,7 @@
     /// Creates a record without targets; `node` is the name of this node.
     pub fn open(node: &str) -> Self {
         Self {
-            node: xxh3_64(node.as_bytes()),
+            node_hash: xxh3_64(node.as_bytes()),
             evidence: SecondaryMap::new(),
             keys: HashMap::new(),
             expected: Duration::ZERO,
@@ -158,10 +158,10 @@
     pub fn add(&mut self, key: TargetKey, name: &str, now: Moment) {
         /// Steps of the share that a node takes into account.
         const STEPS: u64 = 1_024;
-        let draw = xxh3_64_with_seed(name.as_bytes(), self.node) % STEPS;
+        let draw = xxh3_64_with_seed(name.as_bytes(), self.node_hash) % STEPS;
         let evidence = Evidence {
             name: xxh3_64(name.as_bytes()) as u32,
-            heed: HEED_MIN + (1.0 - HEED_MIN) * draw as f64 / STEPS as f64,
+            weight: REPORT_WEIGHT_MIN + (1.0 - REPORT_WEIGHT_MIN) * draw as f64 / STEPS as f64,
             slow_answers: 0,
             slow_row: (now, now),
             slowness: 1.0,
@@ -233,7 +233,7 @@
         };
         let slowness = evidence.slowness_at(now);
         if slowness > DOUBTFUL_SLOWNESS {
-            stalled.max(1.0 + (slowness - 1.0) * evidence.heed)
+            stalled.max(1.0 + (slowness - 1.0) * evidence.weight)
         } else {
             stalled
         }
--- a/tests/balancing.rs
+++ b/tests/balancing.rs
@@ -174,7 +174,7 @@
     assert_eq!(receiver.slow_targets(at(230)), 0);
 }
 
-/// Guards against a node that is cut off from targets and talks others, which reach them, into leaving them.
+/// Guards against a node that is cut off from targets and makes others leave them, which reach them.
 #[test]
 fn answers_of_usual_speed_outweigh_reports_of_slow_ones() {
     let (mut receiver, keys) = shared_placement(1);
@@ -236,7 +236,7 @@
 
 /// Guards against a deployment that is served otherwise than before although its settings do not ask for it.
 #[test]
-fn separate_choice_neither_sends_nor_heeds_reports() {
+fn separate_choice_neither_sends_nor_uses_reports() {
     let (mut node, keys) = shared_placement(1);
     node.set_balancing(Mode::default());
     for (millis, loads) in reports_of_answers(SLOW, 0, 1_500) {
--- a/tests/balancing_support/mod.rs
+++ b/tests/balancing_support/mod.rs
@@ -177,18 +177,18 @@
     F: Fn(&mut Placement),
 {
     let mut model = Model::new(scenario, set_up);
-    while let Some(Reverse((now, _, happening))) = model.agenda.pop() {
+    while let Some(Reverse((now, _, occurrence))) = model.pending.pop() {
         if now > Moment::ZERO + scenario.length {
             break;
         }
-        model.handle(happening, now);
+        model.handle(occurrence, now);
     }
     model.figures
 }
 
 /// Something that is due at a moment; fields are indices into the lists of the model.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Happening {
+enum Occurrence {
     Query,
     /// A subrequest reaches its target.
     Reach(usize),
@@ -274,8 +274,8 @@
 struct Model {
     scenario: Scenario,
     random: Pcg32,
-    agenda: BinaryHeap<Reverse<(Moment, u64, Happening)>>,
-    entered: u64,
+    pending: BinaryHeap<Reverse<(Moment, u64, Occurrence)>>,
+    scheduled: u64,
     nodes: Vec<Node>,
     targets: Vec<Target>,
     keys: Vec<TargetKey>,
@@ -371,8 +371,8 @@
         let mut model = Self {
             scenario,
             random,
-            agenda: BinaryHeap::new(),
-            entered: 0,
+            pending: BinaryHeap::new(),
+            scheduled: 0,
             keys: keys.into_iter().map(|(_, key)| key).collect(),
             indices,
             nodes,
@@ -386,36 +386,36 @@
                 ..Figures::default()
             },
         };
-        model.enter(Moment::ZERO, Happening::Query);
-        model.enter(MEASURED_FROM, Happening::Window);
+        model.schedule(Moment::ZERO, Occurrence::Query);
+        model.schedule(MEASURED_FROM, Occurrence::Window);
         for node in 0..scenario.nodes {
             let phase = model
                 .random
                 .random_range(0..HEARTBEAT_INTERVAL.as_micros() as u64);
-            model.enter(Moment::from_micros(phase), Happening::Heartbeat(node));
+            model.schedule(Moment::from_micros(phase), Occurrence::Heartbeat(node));
         }
         model
     }
 
-    fn enter(&mut self, at: Moment, happening: Happening) {
-        self.entered += 1;
-        self.agenda.push(Reverse((at, self.entered, happening)));
+    fn schedule(&mut self, at: Moment, occurrence: Occurrence) {
+        self.scheduled += 1;
+        self.pending.push(Reverse((at, self.scheduled, occurrence)));
     }
 
-    fn handle(&mut self, happening: Happening, now: Moment) {
-        match happening {
-            Happening::Query => self.begin_query(now),
-            Happening::Reach(subrequest) => self.reach(subrequest, now),
-            Happening::Done(subrequest) => self.done(subrequest, now),
-            Happening::Result(subrequest) => self.receive(subrequest, now),
-            Happening::Tick(query) => {
+    fn handle(&mut self, occurrence: Occurrence, now: Moment) {
+        match occurrence {
+            Occurrence::Query => self.begin_query(now),
+            Occurrence::Reach(subrequest) => self.reach(subrequest, now),
+            Occurrence::Done(subrequest) => self.done(subrequest, now),
+            Occurrence::Result(subrequest) => self.receive(subrequest, now),
+            Occurrence::Tick(query) => {
                 if !self.queries[query].ended && self.queries[query].next_tick == now {
                     self.step(query, Event::Tick, now);
                 }
             }
-            Happening::GiveUp(query) => self.give_up(query, now),
-            Happening::Heartbeat(node) => self.heartbeat(node, now),
-            Happening::Window => self.close_window(now),
+            Occurrence::GiveUp(query) => self.give_up(query, now),
+            Occurrence::Heartbeat(node) => self.heartbeat(node, now),
+            Occurrence::Window => self.close_window(now),
         }
     }
 
@@ -432,7 +432,7 @@
     fn begin_query(&mut self, now: Moment) {
         let gap = Exp::new(self.scenario.queries_per_second).expect("the rate is positive");
         let gap = Duration::from_secs_f64(gap.sample(&mut self.random));
-        self.enter(now + gap, Happening::Query);
+        self.schedule(now + gap, Occurrence::Query);
         let number = self.random.random_range(0..self.nodes.len());
         let node = &self.nodes[number];
         let delay_max = LATENCY_OBJECTIVE * 9 / 20;
@@ -488,7 +488,7 @@
                             usize::from(cause == redwinggrade::wire::Cause::Hedge);
                     }
                     let delay = self.delay(self.nodes[node].data_centre, target % DATA_CENTRES);
-                    self.enter(now + delay, Happening::Reach(subrequest));
+                    self.schedule(now + delay, Occurrence::Reach(subrequest));
                 }
                 Action::Finish(_) => {
                     let query = &mut self.queries[number];
@@ -496,7 +496,7 @@
                     if query.sent_at >= MEASURED_FROM {
                         self.figures.query_times.push(now.since(query.sent_at));
                     }
-                    self.enter(now + HEDGE_LOSER_TIMEOUT, Happening::GiveUp(number));
+                    self.schedule(now + HEDGE_LOSER_TIMEOUT, Occurrence::GiveUp(number));
                 }
             }
         }
@@ -512,7 +512,7 @@
             let next_tick = query.fanout.next_wake().max(now);
             if next_tick != query.next_tick {
                 query.next_tick = next_tick;
-                self.enter(next_tick, Happening::Tick(number));
+                self.schedule(next_tick, Occurrence::Tick(number));
             }
         }
     }
@@ -563,7 +563,7 @@
         };
         let work = Duration::from_secs_f64(times.sample(&mut self.random) * factor / target.speed);
         let end = target.end_of_work(now, work);
-        self.enter(end, Happening::Done(number));
+        self.schedule(end, Occurrence::Done(number));
     }
 
     fn done(&mut self, number: usize, now: Moment) {
@@ -584,7 +584,7 @@
         let node = self.queries[subrequest.query].node;
         let target = subrequest.target;
         let delay = self.delay(self.nodes[node].data_centre, target % DATA_CENTRES);
-        self.enter(at + delay, Happening::Result(number));
+        self.schedule(at + delay, Occurrence::Result(number));
     }
 
     fn receive(&mut self, number: usize, now: Moment) {
@@ -654,7 +654,7 @@
                 self.nodes[to].placement.record_loads(&loads, now);
             }
         }
-        self.enter(now + HEARTBEAT_INTERVAL, Happening::Heartbeat(node));
+        self.schedule(now + HEARTBEAT_INTERVAL, Occurrence::Heartbeat(node));
     }
 
     fn close_window(&mut self, now: Moment) {
@@ -669,6 +669,6 @@
             let ratio = most / (sum / TARGETS as f64);
             self.figures.busiest_to_mean.push(ratio);
         }
-        self.enter(now + WINDOW, Happening::Window);
+        self.schedule(now + WINDOW, Occurrence::Window);
     }
 }
