Report new phases of roll-outs before counts

With forty roll-outs at once, a phase waited for the turn of the run's counts, about ten heartbeats. 136 tests of the binaries rollout passed.

--- a/src/rollout/run.rs
+++ b/src/rollout/run.rs
@@ -94,6 +94,8 @@
     pub next_write: Moment,
     /// When the run ended.
     pub ended_at: Option<Moment>,
+    /// The phase and the verdict that were last reported.
+    pub reported: Option<(Phase, bool)>,
     /// When the counts were last reported.
     pub reported_at: Moment,
     seen_at: Moment,
@@ -123,6 +125,7 @@
             unsaved_since: None,
             next_write: Moment::ZERO,
             ended_at: None,
+            reported: None,
             reported_at: Moment::ZERO,
             seen_at: now,
             age_when_seen: Duration::ZERO,
--- a/src/rollout/state.rs
+++ b/src/rollout/state.rs
@@ -34,8 +34,10 @@
 const LAST_WAIT: Duration = Duration::from_millis(2_200);
 /// How long a final phase is still reported.
 const END_REPORT_PERIOD: Duration = Duration::from_secs(10);
-/// How much earlier than others runs with a verdict are reported.
-const VERDICT_PRECEDENCE: Duration = Duration::from_secs(2);
+/// The maximum size of a report without counts.
+const BARE_REPORT_BYTES: usize = 18;
+/// The maximum size of the list of reports without its entries, with its name.
+const LIST_BYTES: usize = 6;
 /// The time without [`Event::Tick`] after which this node counts as out of touch, because its process was paused.
 const TICK_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// The number of rejected versions that a service keeps.
@@ -584,11 +586,13 @@
 
     /// Returns what this node tells the others, at most [`REPORTS_MAX_BYTES`].
     ///
-    /// Runs that were not reported for the longest time come first, those with a verdict as if it were
-    /// [`VERDICT_PRECEDENCE`] longer. A run whose counts do not fit is reported without those of some routes, and comes
-    /// first the next time. What is left out comes with a later heartbeat, as all counts are sums.
+    /// Runs whose phase or verdict was not reported yet come first, and share the room equally: many that shift at once are
+    /// reported without counts, as their ends wait for this news. Then come those that were not reported for the longest
+    /// time. A run whose counts do not fit is reported without those of some routes. What is left out comes with a
+    /// later heartbeat, as all counts are sums.
     pub fn report(&mut self, now: Moment) -> Vec<Report> {
-        let mut runs: Vec<(&Arc<str>, &mut Run)> = self
+        let in_touch = self.in_touch;
+        let mut runs: Vec<(Report, &mut Run)> = self
             .services
             .iter_mut()
             .filter_map(|(service, known)| Some((service, known.run.as_mut()?)))
@@ -596,24 +600,21 @@
                 run.ended_at
                     .is_none_or(|at| now.since(at) < END_REPORT_PERIOD)
             })
+            .map(|(service, run)| (run.to_report(service, in_touch, now), run))
             .collect();
-        runs.sort_by_key(|(_, run)| {
-            let precedence = if run.bad {
-                VERDICT_PRECEDENCE
-            } else {
-                Duration::ZERO
-            };
-            run.reported_at - precedence
-        });
-        let in_touch = self.in_touch;
-        let (mut room, mut reports) = (REPORTS_MAX_BYTES, Vec::new());
-        for (service, run) in runs {
-            let whole = run.to_report(service, in_touch, now);
+        let is_news = |report: &Report, run: &Run| run.reported != Some((report.phase, report.bad));
+        runs.sort_by_key(|(report, run)| (!is_news(report, run), run.reported_at));
+        let mut news = runs.iter().filter(|(it, run)| is_news(it, run)).count();
+        let (mut room, mut reports) = (REPORTS_MAX_BYTES - LIST_BYTES, Vec::new());
+        for (whole, run) in runs {
             let routes = whole.routes.len();
-            let Some(report) = report::fit(whole, room) else {
+            let part = if news > 1 { room / news } else { room };
+            news = news.saturating_sub(1);
+            let Some(report) = report::fit(whole, part.max(BARE_REPORT_BYTES).min(room)) else {
                 break;
             };
             room -= report::encoded_len(&report);
+            run.reported = Some((report.phase, report.bad));
             // A run with more routes than fit alone must not keep all others out.
             if report.routes.len() == routes || reports.is_empty() {
                 run.reported_at = now;
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -793,7 +793,7 @@
             state.record_result(&service, route, ("t1", version), sample);
         }
     }
-    let mut seen = BTreeSet::new();
+    let (mut seen, mut news) = (BTreeSet::new(), BTreeSet::new());
     for round in 0..40 {
         let rollouts = state.report(now + Duration::from_millis(HEARTBEAT * round));
         let reports = Reports {
@@ -802,6 +802,10 @@
         };
         let bytes = rmp_serde::to_vec_named(&reports).expect("reports encode");
         assert!(bytes.len() <= REPORTS_MAX_BYTES, "{}", bytes.len());
+        news.extend(reports.rollouts.iter().map(|it| it.service));
+        if round == 3 {
+            assert_eq!(news.len(), 40, "news of all come before counts");
+        }
         let decoded: Reports = rmp_serde::from_slice(&bytes).expect("reports decode");
         assert_eq!(decoded, reports);
         let whole = reports.rollouts.iter().filter(|it| it.routes.len() == 2);
