--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -674,10 +674,14 @@
             fresh: self.watch_confirmed && self.store_available && !self.shared.is_uncertain(now),
             revision: self.latest_change(),
         };
+        // Each part takes a lock, which must be released before the next one is taken.
+        let demands = self.shared.quotas().report(now);
+        let loads = self.shared.placement().report_loads(now);
+        let rollouts = self.rollouts.report();
         let reports = Reports {
-            demands: self.shared.quotas().report(now),
-            loads: self.shared.placement().report_loads(now),
-            rollouts: self.rollouts.report(),
+            demands,
+            loads,
+            rollouts,
         };
         let own = self.shared.config.node.heartbeat;
         let roster = self.shared.roster();
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -540,6 +540,7 @@
 
 /// Guards against bounds that hold only at a usual rate of requests.
 #[rstest]
+#[case::lowest(5.0, Behaviour::FailsAtOnce)]
 #[case::low(10.0, Behaviour::FailsAtOnce)]
 #[case::half(20.0, Behaviour::FailsAtOnce)]
 #[case::half_slow(20.0, Behaviour::Slow)]
