Open a tenant's bucket with one token after a start, and where its tenant is above its quota

A process started with half of a bucket, and a standby node that took over opened a full one, although other nodes had just spent as much.

Such buckets now open with one token and fill at the node's rate. Lowering the shares of the overshoot and the slack was not tried: it would cost every tenant above its quota at any time.

--- a/src/quota/bucket.rs
+++ b/src/quota/bucket.rs
@@ -79,8 +79,9 @@
 impl Bucket {
     /// Creates the bucket of a tenant for a process that has run for `uptime`.
     ///
-    /// A process starts with half of a full bucket, because the previous process may have spent a whole one, and the
-    /// other half comes in at the node's rate.
+    /// A process starts with one token, because the previous process may have spent a whole bucket, and the others come in
+    /// at the node's rate. So does a node to which the callers of a tenant above its quota move: other nodes have spent
+    /// what a full bucket would hold.
     pub(super) fn open(
         tenant: u32,
         limit: Limit,
@@ -89,8 +90,10 @@
         now: Moment,
     ) -> Self {
         let full = part.tokens_max();
-        let tokens = if uptime < part.window {
-            (full / 2.0 + part.per_second * uptime.as_secs_f64()).clamp(1.0, full)
+        let tokens = if part.is_over_quota {
+            1.0
+        } else if uptime < part.window {
+            (1.0 + part.per_second * uptime.as_secs_f64()).min(full)
         } else {
             full
         };
