Count a subrequest by a slot that frees itself, so that callers that leave take no target for good

Cause: choosing a target raised a number in Placement; the guard that lowers it was made at the first turn of the subrequest's future. A task begins about 128 operations in one turn, so the last subrequests of a wide query wait for the next. If the caller leaves in between, the server drops futures without a guard, and the number stays one too high.

Change: the choice returns a Slot, which the action and the future own. The slots that exist are the count, and dropping one is all that is needed to free it. The trial of a target after a probe and the open requests to old targets in a roll-out follow from the same count. New gauge open_legs.

--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -373,6 +373,9 @@
         let rate_limited_lines = log_limits.requests.dropped() + log_limits.subrequests.dropped();
         drop(log_limits);
         self.shared.meters.set_memory(&self.memory().usage());
+        let open_subrequests = self.shared.placement().open_subrequests();
+        let meter = &self.shared.meters.open_subrequests;
+        meter.set(i64::from(open_subrequests));
         self.shared.meters.render(rate_limited_lines)
     }
 
--- a/src/process/entry/serve.rs
+++ b/src/process/entry/serve.rs
@@ -18,6 +18,7 @@
 use crate::overload::{crowd, retry};
 use crate::process::placement::{LimitChange, Observation, Stats};
 use crate::process::registry::TargetKey;
+use crate::process::slot::Slot;
 use crate::quota::{Limit, Throttled};
 use crate::request::fanout::{
     Action, Event, Fanout, Plan, REPLY_MARGIN, REPLY_MARGIN_OPEN_CONNECTION,
@@ -227,14 +228,14 @@
             match action {
                 Action::Send {
                     subrequest,
-                    target,
+                    slot,
                     cause,
                 } => {
                     let subrequest = Subrequest {
                         shared: Arc::clone(&shared),
                         index: subrequest,
                         service: Arc::clone(fanout.service(subrequest)),
-                        target,
+                        slot,
                         cause,
                         sampled: report.sampled,
                         expected,
@@ -275,7 +276,8 @@
     /// The index of the subrequest within its fan-out.
     index: usize,
     service: Arc<str>,
-    target: TargetKey,
+    /// The slot of the target.
+    slot: Slot,
     cause: wire::Cause,
     /// Whether all subrequests of the request are logged.
     sampled: bool,
@@ -292,26 +294,27 @@
     /// Sends the subrequest and returns its index with its outcome.
     async fn run(self, call: Arc<Call>) -> (usize, Outcome) {
         let shared = &self.shared;
+        let target = self.slot.target();
         let start = shared.clock.now();
         let mut guard = OutcomeGuard {
             shared,
-            target: self.target,
+            target,
             observation: Observation::NoResult,
             trial: None,
         };
         let (endpoint, stats) = {
             let placement = shared.placement();
-            let endpoint = placement.registry.get(self.target).map(|target| {
+            let endpoint = placement.registry.get(target).map(|known| {
                 let endpoint = Endpoint {
-                    key: self.target,
-                    name: Arc::clone(&target.name),
-                    address: target.report.address,
+                    key: target,
+                    name: Arc::clone(&known.name),
+                    address: known.report.address,
                     dedicated: self.route.kind == Kind::NonIdempotent,
                 };
-                let version = Arc::clone(&target.report.version);
-                (endpoint, version, target.cold_until > start)
+                let version = Arc::clone(&known.report.version);
+                (endpoint, version, known.cold_until > start)
             });
-            (endpoint, placement.stats(self.target, start))
+            (endpoint, placement.stats(target, start))
         };
         let Some((endpoint, version, is_cold)) = endpoint else {
             return (self.index, Outcome::NotRun(FailureCause::Unregistered));
@@ -340,10 +343,10 @@
                 expected: self.expected,
             });
         if let Some(cold) = result.cold_for {
-            shared.placement().registry.set_cold(self.target, cold, now);
+            shared.placement().registry.set_cold(target, cold, now);
         }
         self.record_rate_limit(&endpoint, result.rate_limit, start, now);
-        if result.leaving && shared.placement().registry.mark_leaving(self.target) {
+        if result.leaving && shared.placement().registry.mark_leaving(target) {
             log::info!(
                 target_name:% = endpoint.name, service:% = self.service;
                 "target states that it is leaving; it gets no new work"
@@ -367,7 +370,7 @@
     ) {
         let shared = &self.shared;
         let mut placement = shared.placement();
-        let change = placement.record_rate_limit(self.target, rate_limit, sent_at, now);
+        let change = placement.record_rate_limit(endpoint.key, rate_limit, sent_at, now);
         drop(placement);
         if change.is_none() && rate_limit != RateLimit::Unreadable {
             return;
@@ -490,7 +493,7 @@
     }
 }
 
-/// Reports the outcome of a subrequest to the placement, also if the subrequest is cancelled.
+/// Reports the outcome of a subrequest to the placement, also if the subrequest is cancelled while it runs.
 struct OutcomeGuard<'a, P> {
     shared: &'a Shared<P>,
     target: TargetKey,
--- a/src/process/meters.rs
+++ b/src/process/meters.rs
@@ -93,6 +93,8 @@
     pub targets: Gauge,
     /// Targets that state a limit on their requests.
     pub limited_targets: Gauge,
+    /// Subrequests that have no result yet.
+    pub open_subrequests: Gauge,
     /// Requests refused because their tenant had spent its quota.
     pub throttled_requests: Counter,
     /// The share of this node's part of a quota that the tenant's requests took, for each tenant with requests.
@@ -143,6 +145,7 @@
             store_up: Gauge::default(),
             targets: Gauge::default(),
             limited_targets: Gauge::default(),
+            open_subrequests: Gauge::default(),
             throttled_requests: Counter::default(),
             quota_usage: Histogram::new([0.1, 0.25, 0.5, 0.75, 0.9, 1.0, 1.25, 1.5, 2.0, 4.0]),
             slow_targets: Gauge::default(),
@@ -221,6 +224,11 @@
             "Targets that state a limit on their requests",
             self.limited_targets.clone(),
         );
+        registry.register(
+            "open_legs",
+            "Subrequests that have no result yet",
+            self.open_subrequests.clone(),
+        );
         registry.register(
             "throttled_requests",
             "Requests refused because their tenant had spent its quota",
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -28,4 +28,5 @@
 pub mod record;
 pub mod registry;
 pub mod roster;
+pub mod slot;
 pub mod view;
--- a/src/process/placement.rs
+++ b/src/process/placement.rs
@@ -16,6 +16,7 @@
 use super::budget::Budget;
 use super::pacing::{Pacing, Rate};
 use super::registry::{Effect, Effects, Registry, Target, TargetKey};
+use super::slot::{Slot, Slots};
 use crate::balancing::{self, Load, Loads};
 use crate::connection::outbound::RateLimit;
 use crate::rollout::run::Targets;
@@ -88,10 +89,10 @@
 }
 
 /// What this node has observed of a target.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug)]
 struct Health {
-    /// Subrequests to the target that have no result yet.
-    in_flight: u32,
+    /// The subrequests to the target that have no result yet.
+    slots: Slots,
     /// Subrequests to the target since the load was last measured.
     sent: u32,
     /// Moving average of the latency as a multiple of what the route expects; 1.0 is as expected.
@@ -150,9 +151,9 @@
 }
 
 impl Health {
-    const fn new(now: Moment) -> Self {
+    fn new(now: Moment) -> Self {
         Self {
-            in_flight: 0,
+            slots: Slots::default(),
             sent: 0,
             slowness: 1.0,
             error_rate: 0.0,
@@ -187,9 +188,9 @@
     }
 
     /// Returns the preference class of the target.
-    const fn class(&self) -> Class {
+    fn class(&self) -> Class {
         // After a successful probe, a single subrequest shows whether the target also answers requests.
-        if self.stalled_since.is_some() || (self.half_open && self.in_flight > 0) {
+        if self.stalled_since.is_some() || (self.half_open && self.slots.taken() > 0) {
             Class::Stalled
         } else {
             Class::Responsive
@@ -330,7 +331,7 @@
     }
 
     /// Chooses a target that is not in `tried` and may get a subrequest now, the one with the lowest cost in
-    /// the best class, and counts a subrequest to it.
+    /// the best class, and takes a slot of it.
     ///
     /// Hedges do not go to targets that state a limit, whose few requests are worth more as first subrequests.
     pub fn pick(
@@ -341,23 +342,24 @@
         cause: Cause,
         expected: Duration,
         now: Moment,
-    ) -> Option<TargetKey> {
+    ) -> Option<Slot> {
         let Some(split) = self.rollouts.split(service) else {
             return self.pick_among(table, service, tried, cause, expected, None, now);
         };
         let (has_old, has_new) = self.known_sides(service, &split);
         let sides = self.rollouts.sides(service, cause, has_old, has_new, now);
-        let (side, key) = sides.into_iter().find_map(|side| {
+        let (side, slot) = sides.into_iter().find_map(|side| {
             let among = Some((&*split, side));
-            let key = self.pick_among(table, service, tried, cause, expected, among, now)?;
-            Some((side, key))
+            let slot = self.pick_among(table, service, tried, cause, expected, among, now)?;
+            Some((side, slot))
         })?;
+        let key = slot.target();
         let is_new = side != Side::Old && self.is_new(key, &split);
         if is_new && let Some(health) = self.health.get_mut(key) {
             health.sent_as_new = health.sent_as_new.saturating_add(1);
         }
         self.rollouts.record_sent(service, cause, is_new);
-        Some(key)
+        Some(slot)
     }
 
     /// Tells whether targets are known of the old side and of the new version of a service, in whatever state.
@@ -410,7 +412,7 @@
             let targets = Targets {
                 new: usable(Side::New),
                 old: usable(Side::Old),
-                open_old: open_old.map(|health| health.in_flight).sum(),
+                open_old: open_old.map(|health| health.slots.taken()).sum(),
             };
             outputs.extend(self.rollouts.step(Event::Targets { service, targets }, now));
         }
@@ -432,7 +434,7 @@
         expected: Duration,
         among: Option<(&Split, Side)>,
         now: Moment,
-    ) -> Option<TargetKey> {
+    ) -> Option<Slot> {
         let connections = self.connection_limit(table, service);
         let cold_rate = table.service(service).and_then(|known| known.cold_rate);
         let spreads = among.is_some() && self.rollouts.is_canary(service);
@@ -449,7 +451,10 @@
             };
             // More subrequests than the target has slots, plus one, would only wait there.
             let in_flight_max = connections.min(target.report.slots + 1);
-            if health.unreachable || health.avoid_until > now || health.in_flight >= in_flight_max {
+            if health.unreachable
+                || health.avoid_until > now
+                || health.slots.taken() >= in_flight_max
+            {
                 continue;
             }
             if cause == Cause::Hedge && health.rate_limit.is_some() {
@@ -485,12 +490,11 @@
             self.pacing.record_sent(&target.name, now);
         }
         let health = self.health.get_mut(key)?;
-        health.in_flight += 1;
         health.sent += 1;
         if let Some(limit) = &mut health.rate_limit {
             limit.sent = limit.sent.saturating_add(1);
         }
-        Some(key)
+        Some(health.slots.take(key))
     }
 
     /// Records that a subrequest has taken longer than expected; it may still be answered.
@@ -546,7 +550,6 @@
         let Some(health) = self.health.get_mut(key) else {
             return;
         };
-        health.in_flight = health.in_flight.saturating_sub(1);
         health.decay(now);
         match observation {
             Observation::Answered { took, expected } => {
@@ -653,6 +656,11 @@
         }
     }
 
+    /// Returns the number of subrequests that have no result yet.
+    pub fn open_subrequests(&self) -> u32 {
+        self.health.values().map(|it| it.slots.taken()).sum()
+    }
+
     /// Returns the number of targets that state a limit on their rate of requests.
     pub fn limited_targets(&self) -> usize {
         let limited = self.health.values().filter(|it| it.rate_limit.is_some());
@@ -663,7 +671,7 @@
     pub fn stats(&self, key: TargetKey, now: Moment) -> Option<Stats> {
         let health = self.health.get(key)?;
         Some(Stats {
-            in_flight: health.in_flight,
+            in_flight: health.slots.taken(),
             slowness: health.slowness,
             shared_slowness: self.loads.shared_slowness(key, now),
             error_rate: health.error_rate,
@@ -747,7 +755,7 @@
     own_data_centre: &str,
     expected: Duration,
 ) -> f64 {
-    let load_share = f64::from(health.in_flight) / f64::from(target.report.slots.max(1));
+    let load_share = f64::from(health.slots.taken()) / f64::from(target.report.slots.max(1));
     let time = expected.as_secs_f64() * slowness * (1.0 + load_share);
     let errors = ERROR_COST.as_secs_f64() * health.error_rate;
     let cross_data_centre_penalty = if *target.report.data_centre == *own_data_centre {
--- a/src/request/fanout.rs
+++ b/src/request/fanout.rs
@@ -14,6 +14,7 @@
 use super::reply::{self, Answer, Outcome, Reason, Verdict};
 use crate::process::placement::{Observation, Placement};
 use crate::process::registry::TargetKey;
+use crate::process::slot::Slot;
 use crate::time::Moment;
 use crate::version::route::{Destination, Kind, Route, Table};
 use crate::wire::Cause;
@@ -87,14 +88,14 @@
 }
 
 /// An output of the state machine, which the process carries out.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, PartialEq)]
 pub enum Action {
     /// Send a subrequest.
     Send {
         /// The number of the subrequest, counted from zero within the request.
         subrequest: usize,
-        /// The target to send it to.
-        target: TargetKey,
+        /// The slot of the target to send it to, which must be kept until the subrequest has ended.
+        slot: Slot,
         /// Whether it is a first subrequest, a hedge or a retry.
         cause: Cause,
     },
@@ -369,9 +370,9 @@
         } else {
             Cause::Retry
         };
-        let target = placement.pick(table, &service, &shard.tried, cause, expected, now);
-        if let Some(target) = target {
-            self.dispatch(shard_index, target, cause, now, actions);
+        let slot = placement.pick(table, &service, &shard.tried, cause, expected, now);
+        if let Some(slot) = slot {
+            self.dispatch(shard_index, slot, cause, now, actions);
             self.extra.retries += u32::from(is_extra);
             return;
         }
@@ -427,13 +428,13 @@
     fn dispatch(
         &mut self,
         shard_index: usize,
-        target: TargetKey,
+        slot: Slot,
         cause: Cause,
         now: Moment,
         actions: &mut Vec<Action>,
     ) {
         let shard = &mut self.shards[shard_index];
-        shard.tried.push(target);
+        shard.tried.push(slot.target());
         shard.open_subrequests += 1;
         shard.sent_subrequests += 1;
         shard.hedge_at = match self.plan.route.kind {
@@ -443,12 +444,12 @@
         let subrequest = self.subrequests.len();
         self.subrequests.push(Subrequest {
             shard_index,
-            target,
+            target: slot.target(),
             open: true,
         });
         actions.push(Action::Send {
             subrequest,
-            target,
+            slot,
             cause,
         });
     }
@@ -581,11 +582,11 @@
         }
         let (table, expected) = (&self.plan.table, self.plan.expected_latency);
         let (tried, cause) = (&shard.tried, Cause::Hedge);
-        let target = placement.pick(table, &service, tried, cause, expected, now);
-        if let Some(target) = target {
+        let slot = placement.pick(table, &service, tried, cause, expected, now);
+        if let Some(slot) = slot {
             self.extra.hedges += 1;
             self.shards[shard_index].next_needs_budget = true;
-            self.dispatch(shard_index, target, cause, now, actions);
+            self.dispatch(shard_index, slot, cause, now, actions);
         } else {
             placement.budget.refund(&service);
         }
--- a/tests/balancing.rs
+++ b/tests/balancing.rs
@@ -8,12 +8,12 @@
 
 use balancing_support::{Figures, Scenario, percentile, play};
 use entry_support::{
-    AMPLE_BOUND, EXPECTED_LATENCY, add_target_pairs, at, gather, ms, placement, route,
+    AMPLE_BOUND, EXPECTED_LATENCY, Node, add_target_pairs, at, gather, ms, placement, route,
     single_target, table,
 };
 use redwinggrade::balancing::{ENTRIES_MAX, Load, Mode};
 use redwinggrade::process::heartbeat::Reports;
-use redwinggrade::process::placement::{Observation, Placement};
+use redwinggrade::process::placement::Observation;
 use redwinggrade::process::registry::TargetKey;
 use redwinggrade::time::Moment;
 use redwinggrade::version::route::{Kind, Table};
@@ -89,7 +89,7 @@
     assert!((0.01..0.5).contains(&share), "{share} of an equal share");
 }
 
-fn shared_placement(services: usize) -> (Placement, Vec<[TargetKey; 2]>) {
+fn shared_placement(services: usize) -> (Node, Vec<[TargetKey; 2]>) {
     let mut placement = placement(AMPLE_BOUND);
     placement.set_balancing(Mode::Shared);
     let keys = add_target_pairs(&mut placement, services, at(0));
@@ -100,17 +100,17 @@
     table(route(Kind::Idempotent, 2, single_target()), 1, None)
 }
 
-fn answer(placement: &mut Placement, key: TargetKey, took: Duration, now: Moment) {
+fn answer(placement: &mut Node, key: TargetKey, took: Duration, now: Moment) {
     let expected = EXPECTED_LATENCY;
     placement.observe(key, Observation::Answered { took, expected }, now);
 }
 
 /// Chooses `choices` times and returns how often the choice was `key`; no answer is recorded.
-fn count_chosen(placement: &mut Placement, key: TargetKey, choices: usize, now: Moment) -> usize {
+fn count_chosen(placement: &mut Node, key: TargetKey, choices: usize, now: Moment) -> usize {
     let table = one_service();
     let chosen = (0..choices).filter(|_| {
         let chosen = placement
-            .pick(&table, "s0", &[], Cause::First, EXPECTED_LATENCY, now)
+            .pick(&table, "s0", &[], Cause::First, now)
             .expect("a target takes work");
         placement.observe(chosen, Observation::NoResult, now);
         chosen == key
@@ -256,7 +256,7 @@
     assert_eq!(node.take_busiest_to_mean(), None);
     let table = table(route(Kind::Idempotent, 2, gather(2, 1.0)), 2, None);
     for service in ["s0", "s0", "s0", "s1"] {
-        node.pick(&table, service, &[], Cause::First, EXPECTED_LATENCY, at(0))
+        node.pick(&table, service, &[], Cause::First, at(0))
             .expect("a target takes work");
     }
     let ratio = node.take_busiest_to_mean().expect("subrequests were sent");
--- a/tests/balancing_support/mod.rs
+++ b/tests/balancing_support/mod.rs
@@ -18,6 +18,7 @@
 use redwinggrade::process::placement::{Observation, Placement};
 use redwinggrade::process::registry::TargetKey;
 use redwinggrade::process::roster::HEARTBEAT_INTERVAL;
+use redwinggrade::process::slot::Slot;
 use redwinggrade::request::fanout::{Action, Event, Fanout, Plan, REPLY_MARGIN};
 use redwinggrade::request::latency::LatencyEstimator;
 use redwinggrade::request::reply::{Answer, FailureCause, Outcome};
@@ -227,7 +228,8 @@
     target: usize,
     sent_at: Moment,
     shed: bool,
-    open: bool,
+    /// The slot at the target; absent once the subrequest has ended.
+    slot: Option<Slot>,
 }
 
 #[derive(Clone)]
@@ -470,8 +472,8 @@
             .step(event, now, &mut self.nodes[node].placement);
         for action in actions {
             match action {
-                Action::Send { target, cause, .. } => {
-                    let target = self.indices[&target];
+                Action::Send { slot, cause, .. } => {
+                    let target = self.indices[&slot.target()];
                     let subrequest = self.subrequests.len();
                     let number_in_query = self.queries[number].subrequests.len();
                     self.queries[number].subrequests.push(subrequest);
@@ -481,7 +483,7 @@
                         target,
                         sent_at: now,
                         shed: false,
-                        open: true,
+                        slot: Some(slot),
                     });
                     if now >= MEASURED_FROM {
                         self.figures.hedges +=
@@ -589,7 +591,7 @@
 
     fn receive(&mut self, number: usize, now: Moment) {
         let subrequest = &mut self.subrequests[number];
-        if !std::mem::replace(&mut subrequest.open, false) {
+        if subrequest.slot.take().is_none() {
             return;
         }
         let (query, number) = (subrequest.query, subrequest.number);
@@ -628,7 +630,7 @@
         let node = self.queries[query].node;
         for &number in &self.queries[query].subrequests {
             let subrequest = &mut self.subrequests[number];
-            if std::mem::replace(&mut subrequest.open, false) {
+            if subrequest.slot.take().is_some() {
                 let key = self.keys[subrequest.target];
                 let placement = &mut self.nodes[node].placement;
                 placement.observe(key, Observation::NoResult, now);
--- a/tests/entry_support/mod.rs
+++ b/tests/entry_support/mod.rs
@@ -2,17 +2,20 @@
 
 #![allow(dead_code, reason = "each test file uses some of the helpers")]
 
+use std::ops::{Deref, DerefMut};
 use std::sync::Arc;
 use std::time::Duration;
 
 use redwinggrade::process::budget::{Bound, Budget};
-use redwinggrade::process::placement::Placement;
+use redwinggrade::process::placement::{Observation, Placement};
 use redwinggrade::process::registry::TargetKey;
+use redwinggrade::process::slot::Slot;
 use redwinggrade::time::Moment;
 use redwinggrade::version::item::{TargetReport, TargetState};
 use redwinggrade::version::route::{
     Destination, Gather, Kind, Limits, Route, Service, Table, TableVersion,
 };
+use redwinggrade::wire::Cause;
 
 /// The data centre of the node under test.
 pub const LOCAL: &str = "dc1";
@@ -100,11 +103,76 @@
     ))
 }
 
-/// Returns a placement without targets in [`LOCAL`], which shares its bounds with one other node.
-pub fn placement(bound: Bound) -> Placement {
+/// A placement with the slots of the subrequests that have no result yet.
+#[derive(Debug)]
+pub struct Node {
+    placement: Placement,
+    slots: Vec<Slot>,
+}
+
+impl Node {
+    /// Returns the node of a placement without subrequests.
+    pub const fn open(placement: Placement) -> Self {
+        Self {
+            placement,
+            slots: Vec::new(),
+        }
+    }
+
+    /// Chooses a target as [`Placement::pick`] does, and keeps its slot.
+    pub fn pick(
+        &mut self,
+        table: &Table,
+        service: &str,
+        tried: &[TargetKey],
+        cause: Cause,
+        now: Moment,
+    ) -> Option<TargetKey> {
+        let expected = EXPECTED_LATENCY;
+        let slot = self
+            .placement
+            .pick(table, service, tried, cause, expected, now)?;
+        let target = slot.target();
+        self.slots.push(slot);
+        Some(target)
+    }
+
+    /// Keeps the slot of a subrequest that a fan-out sends, and returns its target.
+    pub fn keep(&mut self, slot: Slot) -> TargetKey {
+        let target = slot.target();
+        self.slots.push(slot);
+        target
+    }
+
+    /// Ends a subrequest to the target, if one is open, with a result.
+    pub fn observe(&mut self, target: TargetKey, observation: Observation, now: Moment) {
+        let open = self.slots.iter().position(|slot| slot.target() == target);
+        if let Some(open) = open {
+            drop(self.slots.swap_remove(open));
+        }
+        self.placement.observe(target, observation, now);
+    }
+}
+
+impl Deref for Node {
+    type Target = Placement;
+
+    fn deref(&self) -> &Placement {
+        &self.placement
+    }
+}
+
+impl DerefMut for Node {
+    fn deref_mut(&mut self) -> &mut Placement {
+        &mut self.placement
+    }
+}
+
+/// Returns a node without targets in [`LOCAL`], which shares its bounds with one other node.
+pub fn placement(bound: Bound) -> Node {
     let mut placement = Placement::open(Arc::from(LOCAL), Budget::open(bound, 2), "n1", 7);
     placement.set_nodes(&["n1".to_owned(), "n2".to_owned()], true, at(0));
-    placement
+    Node::open(placement)
 }
 
 /// Adds a target and returns its key.
--- a/tests/fanout.rs
+++ b/tests/fanout.rs
@@ -7,14 +7,14 @@
 
 use bytes::Bytes;
 use entry_support::{
-    AMPLE_BOUND, EXPECTED_LATENCY, LOCAL, add_target, add_target_pairs, at, gather, ms, placement,
-    route, single_target, table, target_report,
+    AMPLE_BOUND, EXPECTED_LATENCY, LOCAL, Node, add_target, add_target_pairs, at, gather, ms,
+    placement, route, single_target, table, target_report,
 };
 use hyper::StatusCode;
 use hyper::header::{HeaderMap, HeaderValue};
 use redwinggrade::connection::outbound::RateLimit;
 use redwinggrade::process::budget::Bound;
-use redwinggrade::process::placement::{Observation, Placement};
+use redwinggrade::process::placement::Observation;
 use redwinggrade::process::registry::TargetKey;
 use redwinggrade::request::fanout::{
     Action, Event, Fanout, Plan, REPLY_MARGIN, REPLY_MARGIN_OPEN_CONNECTION,
@@ -29,13 +29,13 @@
 
 struct RequestDriver {
     fanout: Fanout,
-    placement: Placement,
+    placement: Node,
     sent: Vec<(usize, TargetKey)>,
     verdict: Option<Verdict>,
 }
 
 impl RequestDriver {
-    fn open(kind: Kind, destination: Destination, services: usize, placement: Placement) -> Self {
+    fn open(kind: Kind, destination: Destination, services: usize, placement: Node) -> Self {
         Self::open_with_margin(kind, destination, services, placement, REPLY_MARGIN)
     }
 
@@ -43,7 +43,7 @@
         kind: Kind,
         destination: Destination,
         services: usize,
-        placement: Placement,
+        placement: Node,
         reply_margin: Duration,
     ) -> Self {
         let route = Arc::new(route(kind, 2, destination));
@@ -69,8 +69,8 @@
         for action in self.fanout.step(event, now, &mut self.placement) {
             match action {
                 Action::Send {
-                    subrequest, target, ..
-                } => self.sent.push((subrequest, target)),
+                    subrequest, slot, ..
+                } => self.sent.push((subrequest, self.placement.keep(slot))),
                 Action::Finish(verdict) => self.verdict = Some(verdict),
             }
         }
@@ -109,7 +109,7 @@
     Outcome::Failed(answer(StatusCode::INTERNAL_SERVER_ERROR, 0))
 }
 
-fn placement_with_pairs(services: usize) -> Placement {
+fn placement_with_pairs(services: usize) -> Node {
     let mut placement = placement(AMPLE_BOUND);
     add_target_pairs(&mut placement, services, at(0));
     placement
@@ -238,7 +238,7 @@
     );
     placement.record_rate_limit(target, RateLimit::PerSecond(limit), at(0), at(0));
     let table = table(route(Kind::Idempotent, 2, single_target()), 1, None);
-    let taken = placement.pick(&table, "s0", &[], Cause::First, EXPECTED_LATENCY, at(0));
+    let taken = placement.pick(&table, "s0", &[], Cause::First, at(0));
     assert_eq!(taken, Some(target), "the request before takes the target");
     let mut driver = RequestDriver::open(Kind::Idempotent, single_target(), 1, placement);
     driver.start();
@@ -455,12 +455,10 @@
 }
 
 /// Picks targets of a service until none has capacity.
-fn use_up_capacity(placement: &mut Placement, service: &str) -> Vec<TargetKey> {
+fn use_up_capacity(placement: &mut Node, service: &str) -> Vec<TargetKey> {
     let table = table(route(Kind::Idempotent, 2, single_target()), 2, None);
     let mut taken = Vec::new();
-    while let Some(key) =
-        placement.pick(&table, service, &[], Cause::First, EXPECTED_LATENCY, at(0))
-    {
+    while let Some(key) = placement.pick(&table, service, &[], Cause::First, at(0)) {
         taken.push(key);
     }
     taken
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -8,13 +8,14 @@
 use std::time::Duration;
 
 use entry_support::{
-    AMPLE_BOUND, EXPECTED_LATENCY, LOCAL, REMOTE, add_target, add_target_pairs, at, gather, ms,
-    placement, route, single_target, table, target_report,
+    AMPLE_BOUND, EXPECTED_LATENCY, LOCAL, Node, REMOTE, add_target, add_target_pairs, at, gather,
+    ms, placement, route, single_target, table, target_report,
 };
 use redwinggrade::connection::keyspace::{Era, Revision};
 use redwinggrade::connection::outbound::RateLimit;
 use redwinggrade::process::placement::{LimitChange, Observation, Placement};
 use redwinggrade::process::registry::{Effect, TargetKey};
+use redwinggrade::process::slot::Slot;
 use redwinggrade::rollout::state::{Event, Rollouts};
 use redwinggrade::rollout::{Bounds, Order, Phase, Record, RunId};
 use redwinggrade::time::Moment;
@@ -23,8 +24,8 @@
 use redwinggrade::wire::Cause;
 use rstest::rstest;
 
-fn pick(placement: &mut Placement, table: &Table, now: Moment) -> Option<TargetKey> {
-    placement.pick(table, "s0", &[], Cause::First, EXPECTED_LATENCY, now)
+fn pick(placement: &mut Node, table: &Table, now: Moment) -> Option<TargetKey> {
+    placement.pick(table, "s0", &[], Cause::First, now)
 }
 
 fn answered(millis: u64) -> Observation {
@@ -36,7 +37,7 @@
 
 /// Sends `subrequests` subrequests one after the other and returns how many went to `target`.
 fn count_sent_to(
-    placement: &mut Placement,
+    placement: &mut Node,
     table: &Table,
     target: TargetKey,
     subrequests: u32,
@@ -108,7 +109,7 @@
 
 /// Simulates three seconds with one subrequest every 20 ms. Returns how many subrequests went to `target`,
 /// and how often it was probed; `alive` tells whether the probes reach it.
-fn simulate(placement: &mut Placement, target: TargetKey, alive: bool) -> (usize, usize) {
+fn simulate(placement: &mut Node, target: TargetKey, alive: bool) -> (usize, usize) {
     let table = table(route(Kind::Idempotent, 2, single_target()), 1, None);
     let (mut subrequests, mut probes) = (0, 0);
     for millis in (0..3_000).step_by(20) {
@@ -271,7 +272,7 @@
 
 /// States a limit in an answer to a subrequest that was sent at `sent_at`.
 fn answer_with(
-    placement: &mut Placement,
+    placement: &mut Node,
     key: TargetKey,
     rate_limit: RateLimit,
     sent_at: u64,
@@ -327,7 +328,7 @@
     let table = table(route(Kind::Idempotent, 2, single_target()), 1, None);
     answer_with(&mut placement, away, RateLimit::PerSecond(20.0), 0, 1);
     let mut pick_other = |cause| {
-        let picked = placement.pick(&table, "s0", &[home], cause, EXPECTED_LATENCY, at(2));
+        let picked = placement.pick(&table, "s0", &[home], cause, at(2));
         picked.inspect(|key| placement.observe(*key, answered(20), at(3)))
     };
     assert_eq!(pick_other(Cause::Hedge), None);
@@ -335,7 +336,7 @@
 }
 
 /// Returns a placement with three targets of `v1` and three of `v2`, in two data centres, and the keys of those of `v2`.
-fn placement_in_rollout() -> (Placement, Vec<TargetKey>) {
+fn placement_in_rollout() -> (Node, Vec<TargetKey>) {
     let mut placement = placement(AMPLE_BOUND);
     let bounds = Bounds {
         canary_share: 0.1,
@@ -370,7 +371,7 @@
     }
 }
 
-fn tick_rollouts(placement: &mut Placement) {
+fn tick_rollouts(placement: &mut Node) {
     let nodes = Event::Nodes {
         serving: BTreeSet::new(),
         serves: true,
@@ -393,7 +394,7 @@
         }
         placement.observe(picked, answered(20), at(1));
         for cause in [Cause::Retry, Cause::Hedge] {
-            let again = placement.pick(&table, "s0", &[picked], cause, EXPECTED_LATENCY, at(1));
+            let again = placement.pick(&table, "s0", &[picked], cause, at(1));
             let again = again.expect("an old target takes work");
             assert!(!new.contains(&again));
             placement.observe(again, answered(20), at(1));
@@ -448,7 +449,7 @@
         .filter(|(key, _)| new.contains(key) == goes_to_new)
         .map(|(key, _)| key)
         .collect();
-    let fallback = placement.pick(&table, "s0", &tried, Cause::Retry, EXPECTED_LATENCY, at(1));
+    let fallback = placement.pick(&table, "s0", &tried, Cause::Retry, at(1));
     assert_eq!(fallback.is_some(), phase == Phase::Shifting);
     for key in tried {
         let target = placement.registry.get(key).expect("the target is known");
@@ -458,3 +459,29 @@
     }
     assert!(pick(&mut placement, &table, at(1)).is_some());
 }
+
+/// Guards against a target that is never chosen again, because the subrequests to it were dropped before they began.
+#[test]
+fn dropped_slot_is_free_again() {
+    let mut placement = placement(AMPLE_BOUND);
+    let key = add_target(&mut placement, "t1", target_report("s0", LOCAL, 1), at(0));
+    let table = table(route(Kind::Idempotent, 2, single_target()), 1, None);
+    for _ in 0..100 {
+        let taken: Vec<Slot> = std::iter::from_fn(|| {
+            Placement::pick(
+                &mut placement,
+                &table,
+                "s0",
+                &[],
+                Cause::First,
+                EXPECTED_LATENCY,
+                at(1),
+            )
+        })
+        .collect();
+        let open = placement.stats(key, at(1)).map(|stats| stats.in_flight);
+        assert_eq!((taken.len(), open), (3, Some(3)));
+    }
+    let open = placement.stats(key, at(1)).map(|stats| stats.in_flight);
+    assert_eq!(open, Some(0));
+}
