Settle a non-idempotent request whose permission to run nobody takes

A caller of redwinggrade-node that left at once and repeated its request under the same id would have waited until its deadline, and then been told that the outcome is unknown, for up to four minutes, although the request had never run.

Cause: the ledger marks the request as running before the permission has arrived. If the caller leaves in between, nobody runs it and nobody settles it.

Change: the permission is a value that settles the request when it is dropped: as not run before the run has begun, as unknown after that.

--- a/src/process/ledger.rs
+++ b/src/process/ledger.rs
@@ -22,16 +22,57 @@
 const EXPIRY_PERIOD: Duration = Duration::from_secs(1);
 
 /// What the node must do with a request that it received.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub enum Decision {
-    /// Run the request now, and settle it with [`Ledger::settle`] afterwards.
-    Start,
+    /// Run the request now.
+    Start(Run),
     /// Send this answer, which the first run of the request gave.
     Answer(Reply),
     /// Refuse the request for this reason.
     Refuse(Reason),
 }
 
+/// The permission to run a request once. Dropping it settles the request, because the caller that waits for the
+/// permission may leave before it arrives.
+#[derive(Debug)]
+#[must_use = "a run that is dropped has not run the request"]
+pub struct Run {
+    ledger: ActorRef<Message>,
+    request: Request,
+    outcome: RunOutcome,
+}
+
+impl Run {
+    const fn open(ledger: ActorRef<Message>, request: Request) -> Self {
+        Self {
+            ledger,
+            request,
+            outcome: RunOutcome::NotRun(Reason::Cancelled),
+        }
+    }
+
+    /// Records that the request may run from now on, so that its outcome is unknown until it is settled.
+    pub fn begin(&mut self) {
+        self.outcome = RunOutcome::Unknown;
+    }
+
+    /// Records how the request ended, and passes the result to the waiting repetitions.
+    pub fn settle(mut self, outcome: RunOutcome) {
+        self.outcome = outcome;
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        let message = Message::Settle {
+            request: self.request.clone(),
+            outcome: std::mem::replace(&mut self.outcome, RunOutcome::Unknown),
+        };
+        // If the actor has ended, repetitions are refused with an unknown outcome anyway.
+        let _gone = self.ledger.cast(message);
+    }
+}
+
 /// A message to the ledger actor.
 #[derive(Debug)]
 pub enum Message {
@@ -107,12 +148,6 @@
         }
     }
 
-    /// Records how a started request ended, and passes the result to the waiting repetitions.
-    pub fn settle(&self, request: Request, outcome: RunOutcome) {
-        // If the actor has ended, repetitions are refused with an unknown outcome anyway.
-        let _gone = self.actor.cast(Message::Settle { request, outcome });
-    }
-
     fn lock_issuer(&self) -> std::sync::MutexGuard<'_, Issuer> {
         self.issuer
             .lock()
@@ -153,7 +188,7 @@
 
     async fn handle(
         &self,
-        _myself: ActorRef<Message>,
+        myself: ActorRef<Message>,
         message: Message,
         state: &mut State,
     ) -> Result<(), ActorProcessingErr> {
@@ -164,7 +199,9 @@
                 digest,
                 reply,
             } => match state.table.begin(&request, digest, now) {
-                Disposition::Start => send_decision(reply, Decision::Start),
+                Disposition::Start => {
+                    send_decision(reply, Decision::Start(Run::open(myself, request)));
+                }
                 Disposition::Answer(answer) => send_decision(reply, Decision::Answer(answer)),
                 Disposition::Refuse(reason) => send_decision(reply, Decision::Refuse(reason)),
                 Disposition::Running => state.add_waiter(request, reply),
@@ -187,15 +224,15 @@
     }
 
     fn settle(&mut self, request: &Request, outcome: RunOutcome) {
-        let decision = match &outcome {
-            RunOutcome::Answered(reply) => Decision::Answer(reply.clone()),
-            RunOutcome::NotRun(reason) => Decision::Refuse(*reason),
-            RunOutcome::Unknown => Decision::Refuse(Reason::OutcomeUnknown),
-        };
-        self.table.settle(request, outcome, self.clock.now());
         for reply in self.waiters.remove(request).unwrap_or_default() {
-            send_decision(reply, decision.clone());
+            let decision = match &outcome {
+                RunOutcome::Answered(reply) => Decision::Answer(reply.clone()),
+                RunOutcome::NotRun(reason) => Decision::Refuse(*reason),
+                RunOutcome::Unknown => Decision::Refuse(Reason::OutcomeUnknown),
+            };
+            send_decision(reply, decision);
         }
+        self.table.settle(request, outcome, self.clock.now());
     }
 }
 
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -22,7 +22,7 @@
 use super::coordinator::{CANCEL_PATH, Cancellation, Coordinator};
 use super::drain::{self, Drain, Event, Phase};
 use super::gateway::{BatchGuard, Gateway};
-use super::ledger::{Decision, Ledger};
+use super::ledger::{Decision, Ledger, Run};
 use super::metrics::Metrics;
 use super::view::View;
 use crate::connection::peer::{self, Peers};
@@ -371,13 +371,12 @@
                 reason,
                 "no answer is available for this request id; see the reason",
             )),
-            Decision::Start => {
+            Decision::Start(run) => {
                 // A task of its own records the outcome even if the caller closes its connection meanwhile.
                 let shared = Arc::clone(self);
-                let task =
-                    tokio::spawn(
-                        async move { shared.run_and_settle(request, query, policy).await },
-                    );
+                let task = tokio::spawn(async move {
+                    shared.run_and_settle(run, request, query, policy).await
+                });
                 task.await.unwrap_or_else(|_| {
                     Err(Refusal::new(
                         Reason::OutcomeUnknown,
@@ -391,17 +390,19 @@
     /// Runs a non-idempotent request and records its outcome in the ledger.
     async fn run_and_settle(
         self: Arc<Self>,
+        mut run: Run,
         request: id::Request,
         query: QueryRequest,
         policy: Query,
     ) -> Result<Reply, Refusal> {
+        run.begin();
         let result = self.run_once(&request, query, policy).await;
         let outcome = match &result {
             Ok(reply) => RunOutcome::Answered(reply.clone()),
             Err(refusal) if refusal.not_run => RunOutcome::NotRun(refusal.reason),
             Err(_) => RunOutcome::Unknown,
         };
-        self.ledger.settle(request, outcome);
+        run.settle(outcome);
         result
     }
 
