Put a quota's token back when its request is dropped before it may have run

A tenant whose callers left while their requests waited for a target was refused with 429 although no target had got a request.

Cause: the token was put back by a line after the fan-out, which does not run if the request is dropped.

Change: admission returns a Charge, which puts its token back when it is dropped, unless the request may have run.

--- a/src/process/entry/serve.rs
+++ b/src/process/entry/serve.rs
@@ -19,7 +19,7 @@
 use crate::process::placement::{LimitChange, Observation, Stats};
 use crate::process::registry::TargetKey;
 use crate::process::slot::Slot;
-use crate::quota::{Limit, Throttled};
+use crate::quota::{Charge, Limit, Throttled};
 use crate::request::fanout::{
     Action, Event, Fanout, Plan, REPLY_MARGIN, REPLY_MARGIN_OPEN_CONNECTION,
 };
@@ -121,20 +121,15 @@
                 };
             }
         }
-        let tenant = tenant_limit(&sender);
-        if let Some((tenant, limit)) = tenant
-            && let Err(Throttled { retry_after }) = shared.quotas().admit(tenant, limit, now)
-        {
-            return Verdict::Throttled { retry_after };
-        }
-        let refund = || {
-            if let Some((tenant, _)) = &tenant {
-                shared.quotas().refund(tenant);
-            }
+        let charge = tenant_limit(&sender)
+            .map(|(tenant, limit)| shared.quotas().admit(tenant, limit, now))
+            .transpose();
+        let mut charge = match charge {
+            Ok(charge) => charge,
+            Err(Throttled { retry_after }) => return Verdict::Throttled { retry_after },
         };
         let (admitted, strained) = shared.admit(&route, claim.as_ref(), now);
         if !admitted {
-            refund();
             let return_time = claim
                 .and_then(|_| shared.return_time(&route, now.until(deadline), now))
                 .unwrap_or_else(|| rand::rng().random_range(RETRY_AFTER_OVERLOAD));
@@ -162,11 +157,8 @@
                 Place::Later => REPLY_MARGIN_OPEN_CONNECTION,
             },
         };
-        let verdict = run_fanout(Arc::clone(shared), plan, request.call, report).await;
-        if matches!(verdict, Verdict::Refused { .. }) {
-            refund();
-        }
-        verdict
+        let charge = charge.as_mut();
+        run_fanout(Arc::clone(shared), plan, request.call, charge, report).await
     }
 }
 
@@ -196,11 +188,13 @@
     }
 }
 
-/// Executes the actions of the fan-out until it finishes.
+/// Executes the actions of the fan-out until it finishes. A request that ends or is dropped before it may have run
+/// leaves its charge unspent.
 async fn run_fanout<P>(
     shared: Arc<Shared<P>>,
     plan: Plan,
     call: Call,
+    mut charge: Option<&mut Charge>,
     report: &mut Report<P>,
 ) -> Verdict
 where
@@ -231,6 +225,9 @@
                     slot,
                     cause,
                 } => {
+                    if let Some(charge) = &mut charge {
+                        charge.set_may_have_run(true);
+                    }
                     let subrequest = Subrequest {
                         shared: Arc::clone(&shared),
                         index: subrequest,
@@ -246,6 +243,11 @@
                 }
                 Action::Finish(verdict) => {
                     report.record_fanout(&fanout);
+                    if matches!(verdict, Verdict::Refused { .. })
+                        && let Some(charge) = charge
+                    {
+                        charge.set_may_have_run(false);
+                    }
                     if !subrequests.is_empty() {
                         let finish = async move { while subrequests.next().await.is_some() {} };
                         tokio::spawn(tokio::time::timeout(HEDGE_LOSER_TIMEOUT, finish));
--- a/src/quota/bucket.rs
+++ b/src/quota/bucket.rs
@@ -1,10 +1,12 @@
 //! The token bucket of one tenant at one node.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use rand::Rng;
 
-use super::Limit;
+use super::{Charge, Limit};
 use crate::time::Moment;
 
 /// The time over which demand is smoothed.
@@ -70,6 +72,8 @@
     /// subtracted from it yet.
     admitted_count: u16,
     refunds: u16,
+    /// The tokens that dropped charges have put back since the last call of [`refill`](Self::refill).
+    returned: Arc<AtomicU32>,
     /// The requests admitted and the tokens that the part has given, since the last call of
     /// [`take_usage`](Self::take_usage).
     admitted: u32,
@@ -119,6 +123,7 @@
             promised_until: now,
             admitted_count: 0,
             refunds: 0,
+            returned: Arc::default(),
             admitted: 0,
             given: 0.0,
         }
@@ -137,12 +142,16 @@
         self.demand_at
     }
 
-    /// Adds the tokens of the time since the last call, under the part and the limit that hold now.
+    /// Adds the tokens of the time since the last call, under the part and the limit that hold now, and those that have
+    /// been put back.
     pub(super) fn refill<R>(&mut self, limit: Limit, part: Part, now: Moment, random: &mut R)
     where
         R: Rng,
     {
         let full = part.tokens_max();
+        for _ in 0..self.returned.swap(0, Ordering::AcqRel) {
+            self.refund();
+        }
         if limit != self.limit {
             // Tokens of a higher limit must not be spent under a lower one.
             let scale = (full / self.tokens_max).min(1.0);
@@ -177,6 +186,11 @@
         self.demand * (-periods).exp()
     }
 
+    /// Returns the charge of a request that has taken a token.
+    pub(super) fn charge(&self) -> Charge {
+        Charge::open(Arc::clone(&self.returned))
+    }
+
     /// Takes a token if there is one.
     pub(super) fn try_withdraw(&mut self) -> bool {
         // Without the tolerance, a rounding error could refuse a caller that comes back exactly when it was told to.
@@ -228,7 +242,7 @@
     }
 
     /// Puts back the token of a request that has not run.
-    pub(super) const fn refund(&mut self) {
+    const fn refund(&mut self) {
         self.tokens = (self.tokens + 1.0).min(self.tokens_max);
         self.common += 1.0;
         self.admitted = self.admitted.saturating_sub(1);
--- a/src/quota/mod.rs
+++ b/src/quota/mod.rs
@@ -9,6 +9,7 @@
 
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use rand_pcg::Pcg32;
@@ -91,6 +92,39 @@
     pub retry_after: Duration,
 }
 
+/// The token that an admitted request has taken from the quota of its tenant.
+///
+/// Dropping it puts the token back if the request has not run. The future of a request may be dropped at any moment,
+/// because its caller has left.
+#[derive(Debug, Default)]
+#[must_use = "a charge that is dropped puts its token back"]
+pub struct Charge {
+    returned: Arc<AtomicU32>,
+    may_have_run: bool,
+}
+
+impl Charge {
+    const fn open(returned: Arc<AtomicU32>) -> Self {
+        Self {
+            returned,
+            may_have_run: false,
+        }
+    }
+
+    /// Sets whether the request may have run, which spends the token.
+    pub const fn set_may_have_run(&mut self, may_have_run: bool) {
+        self.may_have_run = may_have_run;
+    }
+}
+
+impl Drop for Charge {
+    fn drop(&mut self) {
+        if !self.may_have_run {
+            self.returned.fetch_add(1, Ordering::AcqRel);
+        }
+    }
+}
+
 /// Maximum number of tenants in a report. Together they take at most 398 of the 400 bytes that quotas have in a
 /// datagram.
 pub const REPORTED_TENANTS_MAX: usize = 28;
@@ -146,7 +180,12 @@
     }
 
     /// Admits a request of a tenant, or tells when to try again.
-    pub fn admit(&mut self, tenant: &Arc<str>, limit: Limit, now: Moment) -> Result<(), Throttled> {
+    pub fn admit(
+        &mut self,
+        tenant: &Arc<str>,
+        limit: Limit,
+        now: Moment,
+    ) -> Result<Charge, Throttled> {
         let hash = tenant_hash(tenant);
         if !self.buckets.contains_key(tenant) {
             self.make_room();
@@ -156,32 +195,25 @@
         }
         let part = self.part(hash, limit, self.announced(hash), now);
         let Some(bucket) = self.buckets.get_mut(tenant) else {
-            return Ok(());
+            return Ok(Charge::default());
         };
         bucket.refill(limit, part, now, &mut self.random);
         bucket.count_demand(now);
         if bucket.try_withdraw() || bucket.try_borrow(part) {
-            return Ok(());
+            return Ok(bucket.charge());
         }
         // The share that the others will grant once they know of this demand.
         let demand = bucket.demand(now);
         let next_part = self.part(hash, limit, demand.max(self.announced(hash)), now);
         let rate = part.per_second.max(next_part.per_second);
         let Some(bucket) = self.buckets.get_mut(tenant) else {
-            return Ok(());
+            return Ok(Charge::default());
         };
         Err(Throttled {
             retry_after: bucket.promise(rate, now, &mut self.random),
         })
     }
 
-    /// Returns the token of an admitted request that has not run.
-    pub fn refund(&mut self, tenant: &str) {
-        if let Some(bucket) = self.buckets.get_mut(tenant) {
-            bucket.refund();
-        }
-    }
-
     /// Returns what this node announces in its next heartbeats, the tenants nearest to their limit first. What does not
     /// fit is left out and counts as no demand, for this node as for the others.
     pub fn report(&mut self, now: Moment) -> Vec<Demand> {
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -15,7 +15,7 @@
 use redwinggrade::process::roster::{
     HEARTBEAT_INTERVAL, HEARTBEAT_TIMEOUT, STANDBY_INTERVAL_ROUNDS,
 };
-use redwinggrade::quota::{Bound, Limit, Quotas};
+use redwinggrade::quota::{Bound, Charge, Limit, Quotas, Throttled};
 use redwinggrade::time::Moment;
 use rstest::rstest;
 
@@ -82,6 +82,11 @@
     strays: f64,
 }
 
+/// Spends the token of an admitted request, which has run.
+fn has_run(result: Result<Charge, Throttled>) -> Result<(), Throttled> {
+    result.map(|mut charge| charge.set_may_have_run(true))
+}
+
 impl Cluster {
     /// Starts nodes that serve callers and lets them find each other.
     fn open(serving: usize, standby: usize, seed: u64) -> Self {
@@ -191,7 +196,7 @@
             at: self.now,
             tenant,
             node,
-            admitted: result.is_ok(),
+            admitted: has_run(result).is_ok(),
         });
     }
 
@@ -519,7 +524,8 @@
     let (name, limit) = (Arc::from("burst"), cluster.tenants[0].limit);
     let mut told: Vec<Moment> = Vec::new();
     for _ in 0..80 {
-        if let Err(throttled) = cluster.nodes[0].quotas.admit(&name, limit, cluster.now) {
+        let result = cluster.nodes[0].quotas.admit(&name, limit, cluster.now);
+        if let Err(throttled) = has_run(result) {
             told.push(cluster.now + throttled.retry_after);
         }
     }
@@ -539,12 +545,31 @@
         let result = cluster.nodes[0]
             .quotas
             .admit(&name, limit, at.max(cluster.now));
-        refused += usize::from(result.is_err());
+        refused += usize::from(has_run(result).is_err());
     }
     println!("{refused} of {all} refused again");
     assert!(refused * 10 <= all, "{refused} of {all} refused again");
 }
 
+/// Guards against a tenant that is refused because its callers have left before their requests ran.
+#[test]
+fn request_that_has_not_run_leaves_its_token() {
+    let mut quotas = Quotas::open(BOUND, 1, 1, Moment::ZERO);
+    let limit = Limit {
+        per_second: 0.1,
+        burst: 1.0,
+    };
+    let now = Moment::from_millis(60_000);
+    let tenant = Arc::from("ann");
+    for _ in 0..100 {
+        let left = quotas.admit(&tenant, limit, now);
+        drop(left.expect("the token of the request before is back"));
+    }
+    while has_run(quotas.admit(&tenant, limit, now)).is_ok() {}
+    let admitted = quotas.report(now)[0].admitted;
+    assert!((1..20).contains(&admitted), "{admitted} requests have run");
+}
+
 /// Guards against reports that leave no room in a datagram, and against state that grows with the tenants.
 #[test]
 fn reports_and_buckets_are_bounded() {
@@ -556,7 +581,8 @@
     for tenant in 0..10_000 {
         let name = Arc::from(format!("tenant {tenant}"));
         for _ in 0..3 {
-            let _admitted_or_not = quotas.admit(&name, limit, Moment::from_millis(tenant));
+            let result = quotas.admit(&name, limit, Moment::from_millis(tenant));
+            let _admitted_or_not = has_run(result);
         }
     }
     assert!(quotas.bucket_count() < 10_000);
