Take back the turns and the budget of subrequests that were not sent

A caller that left while its connection to a target opened cost the next caller the turn at a target that states a limit, and a hedge or retry that was not sent cost its token.

Cause: both are taken when the target is chosen, and nothing gave them back.

Change: a Slot owns the costs of its subrequest and returns them when it is dropped, unless the pool has set that it may have been written.

--- a/src/connection/outbound.rs
+++ b/src/connection/outbound.rs
@@ -212,20 +212,21 @@
         }
     }
 
-    /// Sends a request to a target and waits until `deadline` for the complete answer.
+    /// Sends a request to a target and waits until `deadline` for the complete answer. Sets `sent` before the first
+    /// byte of the request can have been written.
     pub async fn call<P>(
         &self,
         protocol: &P,
         call: &Call,
         endpoint: &Endpoint,
         deadline: Moment,
+        sent: &AtomicBool,
     ) -> CallResult
     where
         P: Protocol,
     {
         let remaining = self.clock.now().until(deadline);
-        let sent = AtomicBool::new(false);
-        let exchange = pin!(self.exchange_with_retry(protocol, call, endpoint, deadline, &sent));
+        let exchange = pin!(self.exchange_with_retry(protocol, call, endpoint, deadline, sent));
         match tokio::time::timeout(remaining, exchange).await {
             Ok(result) => result,
             Err(_elapsed) if sent.load(Ordering::Relaxed) => {
--- a/src/process/entry/serve.rs
+++ b/src/process/entry/serve.rs
@@ -332,9 +332,10 @@
             is_cancelled: true,
         });
         self.log_sent(&call, &endpoint, stats, start);
+        let sent = self.slot.is_sent();
         let result = shared
             .pool
-            .call(&shared.protocol, &call, &endpoint, self.deadline)
+            .call(&shared.protocol, &call, &endpoint, self.deadline, sent)
             .await;
         let now = shared.clock.now();
         let took = now.since(start);
--- a/src/process/pacing.rs
+++ b/src/process/pacing.rs
@@ -121,6 +121,16 @@
     place_version: u64,
 }
 
+/// One request of this node to a target with a bounded rate.
+#[derive(Debug)]
+pub struct Turn {
+    target: Arc<str>,
+    taken_at: Moment,
+    /// When the request before was sent, as in [`Schedule`].
+    since: Moment,
+    has_sent: bool,
+}
+
 /// The place of this node in the order of the nodes for a target.
 #[derive(Debug, Clone, Copy)]
 struct Place {
@@ -215,11 +225,26 @@
         }
     }
 
-    /// Records that a request was sent to the target, which delays the next one.
-    pub fn record_sent(&mut self, target: &str, now: Moment) {
-        if let Some(schedule) = self.schedules.get_mut(target) {
-            schedule.since = now;
-            schedule.has_sent = true;
+    /// Takes the turn for a request to the target, which delays the next one; absent if it has no schedule.
+    pub fn take_turn(&mut self, target: &Arc<str>, now: Moment) -> Option<Turn> {
+        let schedule = self.schedules.get_mut(target)?;
+        let turn = Turn {
+            target: Arc::clone(target),
+            taken_at: now,
+            since: schedule.since,
+            has_sent: schedule.has_sent,
+        };
+        schedule.since = now;
+        schedule.has_sent = true;
+        Some(turn)
+    }
+
+    /// Takes back the turn of a request that was not sent, unless a later one was taken.
+    pub fn take_back(&mut self, turn: &Turn) {
+        let schedule = self.schedules.get_mut(&turn.target);
+        if let Some(schedule) = schedule.filter(|it| it.since == turn.taken_at) {
+            schedule.since = turn.since;
+            schedule.has_sent = turn.has_sent;
         }
     }
 
--- a/src/process/placement.rs
+++ b/src/process/placement.rs
@@ -16,7 +16,7 @@
 use super::budget::Budget;
 use super::pacing::{Pacing, Rate};
 use super::registry::{Effect, Effects, Registry, Target, TargetKey};
-use super::slot::{Slot, Slots};
+use super::slot::{Returns, Slot, Slots};
 use crate::balancing::{self, Load, Loads};
 use crate::connection::outbound::RateLimit;
 use crate::rollout::run::Targets;
@@ -84,6 +84,8 @@
     pub rollouts: Rollouts,
     data_centre: Arc<str>,
     health: SecondaryMap<TargetKey, Health>,
+    /// The costs of subrequests that were not sent, until they are taken back.
+    returns: Returns,
     node_count: usize,
     random: Pcg32,
 }
@@ -270,6 +272,7 @@
             rollouts: Rollouts::default(),
             data_centre,
             health: SecondaryMap::new(),
+            returns: Returns::default(),
             node_count: ASSUMED_NODES_AT_START,
             random: Pcg32::new(seed, 0xa02_bdbf_7bb3_c0a7),
         }
@@ -362,6 +365,19 @@
         Some(slot)
     }
 
+    /// Takes back the turns and the budget of subrequests that were chosen and not sent, because their callers left or
+    /// no connection could be opened.
+    pub fn take_back_unsent(&mut self) {
+        for costs in self.returns.take() {
+            if let Some(turn) = costs.turn {
+                self.pacing.take_back(&turn);
+            }
+            if let Some(service) = costs.extra {
+                self.budget.refund(&service);
+            }
+        }
+    }
+
     /// Tells whether targets are known of the old side and of the new version of a service, in whatever state.
     fn known_sides(&self, service: &str, split: &Split) -> (bool, bool) {
         let has = |side| {
@@ -485,16 +501,16 @@
             }
         }
         let (_, _, key, rate) = best?;
-        if rate.is_some() {
-            let target = self.registry.get(key)?;
-            self.pacing.record_sent(&target.name, now);
-        }
+        let turn = match rate {
+            Some(_) => self.pacing.take_turn(&self.registry.get(key)?.name, now),
+            None => None,
+        };
         let health = self.health.get_mut(key)?;
         health.sent += 1;
         if let Some(limit) = &mut health.rate_limit {
             limit.sent = limit.sent.saturating_add(1);
         }
-        Some(health.slots.take(key))
+        Some(health.slots.take(key, turn, &self.returns))
     }
 
     /// Records that a subrequest has taken longer than expected; it may still be answered.
--- a/src/request/fanout.rs
+++ b/src/request/fanout.rs
@@ -276,6 +276,7 @@
         if self.finished {
             return actions;
         }
+        placement.take_back_unsent();
         // The results of subrequests tell whether a target may have run the request, so all that are known at the
         // deadline come before the verdict, which the tick brings. A process that was paused has many of them.
         let awaits_tick = now >= self.plan.deadline && matches!(event, Event::Result { .. });
@@ -371,7 +372,10 @@
             Cause::Retry
         };
         let slot = placement.pick(table, &service, &shard.tried, cause, expected, now);
-        if let Some(slot) = slot {
+        if let Some(mut slot) = slot {
+            if is_extra {
+                slot.set_extra(service);
+            }
             self.dispatch(shard_index, slot, cause, now, actions);
             self.extra.retries += u32::from(is_extra);
             return;
@@ -583,7 +587,8 @@
         let (table, expected) = (&self.plan.table, self.plan.expected_latency);
         let (tried, cause) = (&shard.tried, Cause::Hedge);
         let slot = placement.pick(table, &service, tried, cause, expected, now);
-        if let Some(slot) = slot {
+        if let Some(mut slot) = slot {
+            slot.set_extra(service);
             self.extra.hedges += 1;
             self.shards[shard_index].next_needs_budget = true;
             self.dispatch(shard_index, slot, cause, now, actions);
--- a/tests/balancing_support/mod.rs
+++ b/tests/balancing_support/mod.rs
@@ -7,6 +7,7 @@
 use std::collections::{BinaryHeap, HashMap, VecDeque};
 use std::fmt;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -473,6 +474,7 @@
         for action in actions {
             match action {
                 Action::Send { slot, cause, .. } => {
+                    slot.is_sent().store(true, Ordering::Relaxed);
                     let target = self.indices[&slot.target()];
                     let subrequest = self.subrequests.len();
                     let number_in_query = self.queries[number].subrequests.len();
--- a/tests/entry_support/mod.rs
+++ b/tests/entry_support/mod.rs
@@ -4,6 +4,7 @@
 
 use std::ops::{Deref, DerefMut};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use redwinggrade::process::budget::{Bound, Budget};
@@ -119,7 +120,12 @@
         }
     }
 
-    /// Chooses a target as [`Placement::pick`] does, and keeps its slot.
+    /// Ends all subrequests and returns the placement.
+    pub fn into_placement(self) -> Placement {
+        self.placement
+    }
+
+    /// Chooses a target as [`Placement::pick`] does, and sends it a subrequest.
     pub fn pick(
         &mut self,
         table: &Table,
@@ -132,14 +138,13 @@
         let slot = self
             .placement
             .pick(table, service, tried, cause, expected, now)?;
-        let target = slot.target();
-        self.slots.push(slot);
-        Some(target)
+        Some(self.send(slot))
     }
 
-    /// Keeps the slot of a subrequest that a fan-out sends, and returns its target.
-    pub fn keep(&mut self, slot: Slot) -> TargetKey {
+    /// Sends the subrequest of a slot, keeps the slot and returns its target.
+    pub fn send(&mut self, slot: Slot) -> TargetKey {
         let target = slot.target();
+        slot.is_sent().store(true, Ordering::Relaxed);
         self.slots.push(slot);
         target
     }
--- a/tests/fanout.rs
+++ b/tests/fanout.rs
@@ -70,7 +70,7 @@
             match action {
                 Action::Send {
                     subrequest, slot, ..
-                } => self.sent.push((subrequest, self.placement.keep(slot))),
+                } => self.sent.push((subrequest, self.placement.send(slot))),
                 Action::Finish(verdict) => self.verdict = Some(verdict),
             }
         }
@@ -631,3 +631,28 @@
     });
     assert!(is_sent);
 }
+
+/// Guards against a budget for hedges and retries that is spent on subrequests that were never sent.
+#[test]
+fn unsent_retry_leaves_its_token() {
+    let bound = Bound {
+        ratio: 0.0,
+        slack: 5.0,
+    };
+    let mut placement = placement(bound);
+    add_target_pairs(&mut placement, 1, at(0));
+    let mut retries = 0;
+    for _ in 0..5 {
+        let mut driver = RequestDriver::open(Kind::Idempotent, single_target(), 1, placement);
+        driver.start();
+        let event = Event::Result {
+            subrequest: 0,
+            outcome: Outcome::NotRun(FailureCause::Shed),
+        };
+        let actions = driver.fanout.step(event, at(5), &mut driver.placement);
+        retries += usize::from(matches!(actions[..], [Action::Send { .. }]));
+        drop(actions);
+        placement = Node::open(driver.placement.into_placement());
+    }
+    assert_eq!(retries, 5);
+}
--- a/tests/pacing.rs
+++ b/tests/pacing.rs
@@ -40,7 +40,7 @@
     while now < start + duration {
         for pacing in &mut *nodes {
             if pacing.next_send(target, rate, now) <= now {
-                pacing.record_sent(target, now);
+                drop(pacing.take_turn(target, now));
                 sent.push(now);
             }
         }
@@ -212,7 +212,7 @@
             }
             1 => pacing.set_serving(random.random()),
             2 => pacing.forget(target),
-            _ if pacing.next_send(target, rate, now) <= now => pacing.record_sent(target, now),
+            _ if pacing.next_send(target, rate, now) <= now => drop(pacing.take_turn(target, now)),
             _ => {}
         }
     }
