Bound the connections to targets and their buffers by the memory of the instance

Cause: one exchange was bounded, and all bodies together, but neither the number of connections, which follows from the number of targets, nor what their buffers hold. The HTTP library's buffer holds unfinished heads and parts of bodies alike.

Change: a second budget of a quarter of memory_mb, for connections at 24 KiB each, idle ones included, and for what their buffers grow beyond 8 KiB, counted as it is read. The placement opens no more subrequests than there is room for connections; idle ones give way first; a query over several shards without room is refused at once as not run; an eighth is kept for requests to single targets. Heads of answers end at 16 KiB. Large bodies that are being received keep out no small ones. New metrics target_memory_*.

--- a/src/connection/memory.rs
+++ b/src/connection/memory.rs
@@ -26,7 +26,7 @@
 /// The unit in which small bodies are counted and their progress is measured. The answers of all shards to a query
 /// are held at the same time, and most of them are smaller than this.
 const SMALL_STEP_BYTES: usize = 1 << 10;
-/// One part in this number of the budget is kept for connections and small bodies.
+/// One part in this number of the budget is kept for connections, small bodies and what grows.
 const RESERVE_ONE_IN: usize = 4;
 /// How long a body must have made no step before another one may displace it. A caller on a slow link of
 /// 1 Mbit/s makes a step of 16 KiB in half of this time.
@@ -120,8 +120,8 @@
 
     /// Tells whether new work displaces what makes no progress.
     pub fn is_short(&self) -> bool {
-        let usage = self.lock().usage;
-        usage.held > usage.capacity - usage.capacity / RESERVE_ONE_IN
+        let state = self.lock();
+        state.usage.held > state.unreserved()
     }
 
     /// Holds the cost of a connection, for which the whole budget may be used and stalled bodies are displaced.
@@ -136,6 +136,28 @@
         })
     }
 
+    /// Holds the least cost of something that may grow, for which all but the reserve may be used.
+    pub fn hold(&self, bytes: usize) -> Result<Permit, Exceeded> {
+        let mut state = self.lock();
+        let limit = state.unreserved();
+        state.reserve(bytes, limit)?;
+        drop(state);
+        Ok(Permit {
+            budget: self.clone(),
+            bytes,
+        })
+    }
+
+    /// Returns the capacity of a budget that has room for this many things of the given least cost.
+    pub const fn capacity_for(count: usize, bytes: usize) -> usize {
+        (count * bytes).saturating_mul(RESERVE_ONE_IN) / (RESERVE_ONE_IN - 1)
+    }
+
+    /// Returns for how many things of the given least cost there is room, if nothing else is held.
+    pub fn room_for(&self, bytes: usize) -> usize {
+        self.lock().unreserved() / bytes
+    }
+
     /// Holds bytes that exist already, even beyond the budget; new work is refused until they are released.
     pub fn hold_existing(&self, bytes: usize) -> Permit {
         self.lock().usage.held += bytes;
@@ -213,6 +235,11 @@
 }
 
 impl State {
+    /// Returns the bytes that are not kept for connections, small bodies and what grows.
+    const fn unreserved(&self) -> usize {
+        self.usage.capacity - self.usage.capacity / RESERVE_ONE_IN
+    }
+
     /// Holds bytes if no more than `limit` are held then.
     fn reserve(&mut self, bytes: usize, limit: usize) -> Result<(), Exceeded> {
         let held = self.usage.held.checked_add(bytes).ok_or(Exceeded)?;
@@ -273,7 +300,7 @@
         let limit = if body.buffer.cost() + needed <= STEP_BYTES {
             capacity
         } else {
-            capacity - capacity / RESERVE_ONE_IN
+            self.unreserved()
         };
         if needed > 0 {
             let reserved = self.reserve_displacing(needed, limit, now, Some(key));
@@ -310,6 +337,21 @@
     bytes: usize,
 }
 
+impl Permit {
+    /// Holds more bytes, for which the whole budget may be used.
+    pub fn grow(&mut self, bytes: usize) -> Result<(), Exceeded> {
+        let mut state = self.budget.lock();
+        let capacity = state.usage.capacity;
+        if state.reserve(bytes, capacity).is_err() {
+            state.usage.refused_answers += 1;
+            return Err(Exceeded);
+        }
+        drop(state);
+        self.bytes += bytes;
+        Ok(())
+    }
+}
+
 impl Drop for Permit {
     fn drop(&mut self) {
         self.budget.lock().usage.held -= self.bytes;
--- a/src/connection/outbound.rs
+++ b/src/connection/outbound.rs
@@ -6,7 +6,8 @@
 //! taken for the answer to the next request.
 //!
 //! A target may send bytes without end. Each exchange may read [`EXCHANGE_MAX_BYTES`], and all exchanges that
-//! wait for the rest of a body may hold [`BODIES_MAX_BYTES`] together.
+//! wait for the rest of a body may hold [`BODIES_MAX_BYTES`] together. Connections and their buffers, which hold
+//! unfinished heads, count in a budget of their own; see `docs/design/memory.md`.
 
 use std::future::poll_fn;
 use std::net::SocketAddr;
@@ -31,8 +32,8 @@
 use tokio::net::TcpStream;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::memory::Budget;
-use super::metered::{Allowance, MeteredStream};
+use super::memory::{Budget, Permit, STEP_BYTES};
+use super::metered::{Allowance, Buffer, MeteredStream};
 use super::target::{ANSWER_MAX_BYTES, POLL_ROUNDS};
 use crate::process::registry::TargetKey;
 use crate::request::reply::{FailureCause, Outcome};
@@ -54,13 +55,20 @@
 /// How much earlier than the target's keep-alive time-out a connection is discarded. A request that is
 /// sent while the target closes the connection is lost.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
-/// Maximum head of an answer. The buffer of a connection grows up to this size only when needed.
-const HEAD_MAX_BYTES: usize = 64 << 10;
+/// Maximum head of an answer, the usual maximum of the heads of requests. The buffer of a connection grows up to this
+/// size only when needed.
+const HEAD_MAX_BYTES: usize = 16 << 10;
+/// Maximum size of a connection's buffer, which the HTTP library may double to make room for the next bytes.
+const BUFFER_MAX_BYTES: usize = 2 * HEAD_MAX_BYTES;
+/// The least memory that a connection holds: buffers for writing and for reading, 8 KiB each, and 8 KiB for the state of
+/// the connection and of the exchange that uses it.
+pub const CONNECTION_BYTES: usize = 24 << 10;
 /// Maximum number of bytes that one exchange may read. The encoding of a body in chunks may multiply its size,
 /// and interim responses precede the head.
 pub const EXCHANGE_MAX_BYTES: usize = HEAD_MAX_BYTES + 4 * ANSWER_MAX_BYTES;
 /// Maximum size of all bodies that are being received. A query over hundreds of shards could otherwise fill
-/// the memory of a small instance if many targets send bodies without end.
+/// the memory of a small instance if many targets send bodies without end. Bodies above [`STEP_BYTES`] may use three
+/// quarters, so that they do not keep out those of other targets.
 pub const BODIES_MAX_BYTES: usize = 16 << 20;
 /// The number of requests that a connection remembers, so that a repeated request gets another connection.
 const REMEMBERED_REQUESTS: usize = 4;
@@ -154,6 +162,8 @@
     bodies: AtomicUsize,
     /// The memory of this node for callers, in which the bodies count until their last copy is dropped.
     memory: Budget,
+    /// The memory for connections to targets and their buffers.
+    connections: Budget,
 }
 
 type Driver = http1::Connection<TokioIo<MeteredStream>, Full<Bytes>>;
@@ -173,13 +183,14 @@
 }
 
 impl Pool {
-    /// Returns an empty pool.
-    pub fn new(clock: Clock, memory: Budget) -> Self {
+    /// Returns an empty pool, whose bodies count in `memory` and whose connections count in `connections`.
+    pub fn new(clock: Clock, memory: Budget, connections: Budget) -> Self {
         Self {
             clock,
             idle: Mutex::default(),
             bodies: AtomicUsize::new(0),
             memory,
+            connections,
         }
     }
 
@@ -197,9 +208,43 @@
         }
     }
 
-    /// Opens a connection to a target to check that it can be reached, and keeps it for the next subrequest.
-    pub async fn probe(&self, key: TargetKey, address: SocketAddr) -> bool {
-        match Connection::open(address).await {
+    /// Returns the number of connections that may be open at the same time.
+    pub fn connections_max(&self) -> usize {
+        self.connections.room_for(CONNECTION_BYTES)
+    }
+
+    async fn open_connection(&self, address: SocketAddr) -> Result<Connection, FailureCause> {
+        // The placement opens no more subrequests than there may be connections, so only probes can have used them up.
+        let memory = self.hold_connection().ok_or(FailureCause::Unsent)?;
+        let opened = Connection::open(address, memory).await;
+        opened.map_err(|_unreachable| FailureCause::Unreachable)
+    }
+
+    /// Holds the memory of a connection, for which idle connections are closed; absent if there is none.
+    fn hold_connection(&self) -> Option<Permit> {
+        loop {
+            if let Ok(permit) = self.connections.hold(CONNECTION_BYTES) {
+                return Some(permit);
+            }
+            let mut idle = self.lock_idle();
+            let first_to_expire = idle
+                .iter()
+                .flat_map(|(key, connections)| {
+                    let expiries = connections.iter().map(|it| it.usable_until).enumerate();
+                    expiries.map(move |(number, expiry)| (expiry, key, number))
+                })
+                .min_by_key(|(expiry, ..)| *expiry);
+            let (_, key, number) = first_to_expire?;
+            drop(idle.get_mut(key)?.remove(number));
+            self.connections.count_displaced_connection();
+        }
+    }
+
+    /// Opens a connection to a target to check that it can be reached, and keeps it for the next subrequest. Returns
+    /// nothing if there is no memory for it.
+    pub async fn probe(&self, key: TargetKey, address: SocketAddr) -> Option<bool> {
+        let memory = self.hold_connection()?;
+        let reached = match Connection::open(address, memory).await {
             Ok(connection) => {
                 self.put_idle(key, connection, None);
                 true
@@ -209,7 +254,8 @@
                 self.close_idle(key);
                 false
             }
-        }
+        };
+        Some(reached)
     }
 
     /// Sends a request to a target and waits until `deadline` for the complete answer. Sets `sent` before the first
@@ -262,11 +308,9 @@
             let is_new = reused.is_none();
             let mut connection = match reused {
                 Some(connection) => connection,
-                None => match Connection::open(endpoint.address).await {
+                None => match self.open_connection(endpoint.address).await {
                     Ok(connection) => connection,
-                    Err(_unreachable) => {
-                        return CallResult::unanswered(Outcome::NotRun(FailureCause::Unreachable));
-                    }
+                    Err(cause) => return CallResult::unanswered(Outcome::NotRun(cause)),
                 },
             };
             let has_carried_answer = !connection.requests.is_empty();
@@ -366,10 +410,12 @@
 }
 
 impl Connection {
-    async fn open(address: SocketAddr) -> std::io::Result<Self> {
+    /// Opens a connection that holds the memory until it is dropped.
+    async fn open(address: SocketAddr, memory: Permit) -> std::io::Result<Self> {
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, connect(address)).await??;
         let allowance = Allowance::default();
-        let stream = MeteredStream::open(stream, allowance.clone());
+        let buffer = Buffer::open(memory, BUFFER_MAX_BYTES);
+        let stream = MeteredStream::open(stream, allowance.clone(), buffer);
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(HEAD_MAX_BYTES)
             .handshake(TokioIo::new(stream))
@@ -472,7 +518,12 @@
     fn add(&mut self, bytes: usize) -> Result<(), ExchangeError> {
         self.own += bytes;
         let all = self.bodies.fetch_add(bytes, Ordering::Relaxed) + bytes;
-        if self.own > ANSWER_MAX_BYTES || all > BODIES_MAX_BYTES {
+        let all_max = if self.own > STEP_BYTES {
+            BODIES_MAX_BYTES / 4 * 3
+        } else {
+            BODIES_MAX_BYTES
+        };
+        if self.own > ANSWER_MAX_BYTES || all > all_max {
             return Err(ExchangeError::TooLarge);
         }
         Ok(())
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -75,6 +75,8 @@
     pub target_heartbeat: Duration,
     /// The memory that callers may make the node hold.
     pub memory: memory::Budget,
+    /// The memory that connections to targets may hold, which also bounds their number.
+    pub target_memory: memory::Budget,
     /// How the node estimates the slowness of targets.
     pub balancing: balancing::Mode,
     /// The bounds on the exposure to versions that are rolled out; absent if roll-outs are off.
@@ -265,13 +267,15 @@
         );
         placement.set_balancing(config.balancing);
         placement.rollouts = Rollouts::open(config.rollout, &config.node.name);
+        let pool = Pool::new(clock, config.memory.clone(), config.target_memory.clone());
+        placement.set_subrequests_max(pool.connections_max());
         let mirrors = codec.prefixes().iter().map(|&prefix| Mirror::open(prefix));
         let shared = Arc::new(Shared {
             clock,
             protocol: platform.protocol,
             route_table: ArcSwapOption::empty(),
             placement: Mutex::new(placement),
-            pool: Pool::new(clock, config.memory.clone()),
+            pool,
             roster: Mutex::default(),
             mirrors: Mutex::new(mirrors.collect()),
             quotas: Mutex::new(Quotas::open(
@@ -372,7 +376,9 @@
         let log_limits = self.shared.log_limits();
         let rate_limited_lines = log_limits.requests.dropped() + log_limits.subrequests.dropped();
         drop(log_limits);
-        self.shared.meters.set_memory(&self.memory().usage());
+        let targets = self.shared.config.target_memory.usage();
+        let meters = &self.shared.meters;
+        meters.set_memory(&self.memory().usage(), &targets);
         let open_subrequests = self.shared.placement().open_subrequests();
         let meter = &self.shared.meters.open_subrequests;
         meter.set(i64::from(open_subrequests));
--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -747,7 +747,9 @@
                 .and_then(|evidence| evidence.stalled_for);
             let shared = Arc::clone(&self.shared);
             tokio::spawn(async move {
-                let reached = shared.pool.probe(key, address).await;
+                let Some(reached) = shared.pool.probe(key, address).await else {
+                    return;
+                };
                 shared.placement().record_probe(key, reached);
                 shared.meters.count_probe(reached);
                 if shared.log_limits().subrequests.admit(shared.clock.now()) {
--- a/src/process/meters.rs
+++ b/src/process/meters.rs
@@ -111,6 +111,12 @@
     pub memory_capacity: Gauge,
     /// What was refused or given up because the memory for callers was used up.
     pub memory_refusals: Family<MemoryRefusalLabel, Counter>,
+    /// Bytes that connections to targets hold.
+    pub target_memory_held: Gauge,
+    /// Bytes that connections to targets may hold.
+    pub target_memory_capacity: Gauge,
+    /// What was closed or given up because the memory for connections to targets was used up.
+    pub target_memory_refusals: Family<MemoryRefusalLabel, Counter>,
     /// Roll-outs of services, by phase.
     pub rollouts: Family<PhaseLabel, Gauge>,
     /// Answers of targets of versions that are rolled out, by outcome.
@@ -154,6 +160,9 @@
             memory_held: Gauge::default(),
             memory_capacity: Gauge::default(),
             memory_refusals: Family::default(),
+            target_memory_held: Gauge::default(),
+            target_memory_capacity: Gauge::default(),
+            target_memory_refusals: Family::default(),
             rollouts: Family::default(),
             rollout_answers: Family::default(),
             running_requests: Gauge::default(),
@@ -265,6 +274,21 @@
             "What was refused or given up for lack of memory or connections",
             self.memory_refusals.clone(),
         );
+        registry.register(
+            "target_memory_bytes",
+            "Memory that connections to targets hold",
+            self.target_memory_held.clone(),
+        );
+        registry.register(
+            "target_memory_limit_bytes",
+            "Memory that connections to targets may hold",
+            self.target_memory_capacity.clone(),
+        );
+        registry.register(
+            "target_memory_refusals",
+            "Idle connections closed and answers given up for lack of memory",
+            self.target_memory_refusals.clone(),
+        );
         registry.register(
             "rollouts",
             "Roll-outs of services, by phase",
@@ -352,9 +376,22 @@
             .inc();
     }
 
-    /// Takes over what the memory for callers holds and has refused.
-    pub fn set_memory(&self, usage: &memory::Usage) {
+    /// Takes over what the memory for callers and the one for connections to targets hold and have refused.
+    pub fn set_memory(&self, callers: &memory::Usage, targets: &memory::Usage) {
         let bytes = |bytes: usize| i64::try_from(bytes).unwrap_or(i64::MAX);
+        let set = |counters: &Family<MemoryRefusalLabel, Counter>, what, count| {
+            let counter = counters.get_or_create(&MemoryRefusalLabel { what });
+            counter.inner().store(count, Ordering::Relaxed);
+        };
+        self.target_memory_held.set(bytes(targets.held));
+        self.target_memory_capacity.set(bytes(targets.capacity));
+        for (what, count) in [
+            ("displaced_connection", targets.displaced_connections),
+            ("refused_answer", targets.refused_answers),
+        ] {
+            set(&self.target_memory_refusals, what, count);
+        }
+        let usage = callers;
         self.memory_held.set(bytes(usage.held));
         self.memory_capacity.set(bytes(usage.capacity));
         for (what, count) in [
@@ -365,10 +402,7 @@
             ("refused_request", usage.refused_requests),
             ("refused_answer", usage.refused_answers),
         ] {
-            let counter = self
-                .memory_refusals
-                .get_or_create(&MemoryRefusalLabel { what });
-            counter.inner().store(count, Ordering::Relaxed);
+            set(&self.memory_refusals, what, count);
         }
     }
 
--- a/src/process/placement.rs
+++ b/src/process/placement.rs
@@ -5,6 +5,7 @@
 //! milliseconds, become slow, fail, refuse work or stop answering. It uses no clock, socket or global random
 //! number generator. See `docs/decisions/008-platform.md`.
 
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -65,6 +66,9 @@
 /// Cost of each earlier canary request to a target, more than any other cost, so that they are spread evenly over the
 /// targets of the new version.
 const CANARY_COST: Duration = Duration::from_secs(100);
+/// One part in this number of the subrequests that a node may have open is kept for requests to single targets. Queries
+/// over many shards whose targets do not answer take all others.
+const SINGLE_TARGET_RESERVE_ONE_IN: u32 = 8;
 /// Maximum random increase of a target's cost, as a fraction, so that nodes do not all choose the same
 /// target.
 const COST_JITTER: f64 = 0.15;
@@ -84,6 +88,10 @@
     pub rollouts: Rollouts,
     data_centre: Arc<str>,
     health: SecondaryMap<TargetKey, Health>,
+    /// The subrequests of all targets that have no result yet.
+    open: Slots,
+    /// The maximum number of open subrequests, which the memory for connections bounds.
+    subrequests_max: u32,
     /// The costs of subrequests that were not sent, until they are taken back.
     returns: Returns,
     node_count: usize,
@@ -272,6 +280,8 @@
             rollouts: Rollouts::default(),
             data_centre,
             health: SecondaryMap::new(),
+            open: Slots::default(),
+            subrequests_max: u32::MAX,
             returns: Returns::default(),
             node_count: ASSUMED_NODES_AT_START,
             random: Pcg32::new(seed, 0xa02_bdbf_7bb3_c0a7),
@@ -283,6 +293,28 @@
         self.balancing = mode;
     }
 
+    /// Sets the maximum number of open subrequests, at least one.
+    pub fn set_subrequests_max(&mut self, max: usize) {
+        self.subrequests_max = u32::try_from(max).unwrap_or(u32::MAX).max(1);
+    }
+
+    /// Tells whether `subrequests` further ones of a request over `shards` shards may be open at the same time, or as many
+    /// as ever may.
+    pub fn has_room(&self, subrequests: usize, shards: usize) -> bool {
+        let reserve = match shards {
+            0..=1 => 0,
+            _ => self.subrequests_max / SINGLE_TARGET_RESERVE_ONE_IN,
+        };
+        let max = self.subrequests_max - reserve;
+        let needed = u32::try_from(subrequests).unwrap_or(u32::MAX).min(max);
+        needed <= max.saturating_sub(self.open.taken())
+    }
+
+    /// Returns a random delay within the range.
+    pub fn draw_delay(&mut self, range: Range<Duration>) -> Duration {
+        self.random.random_range(range)
+    }
+
     /// Sets the nodes that share the limits. `discovery_complete` tells whether every node has had time to be
     /// discovered; until then at least `ASSUMED_NODES_AT_START` nodes are assumed.
     pub fn set_nodes(&mut self, nodes: &[String], discovery_complete: bool, now: Moment) {
@@ -451,6 +483,9 @@
         among: Option<(&Split, Side)>,
         now: Moment,
     ) -> Option<Slot> {
+        if self.open.taken() >= self.subrequests_max {
+            return None;
+        }
         let connections = self.connection_limit(table, service);
         let cold_rate = table.service(service).and_then(|known| known.cold_rate);
         let spreads = among.is_some() && self.rollouts.is_canary(service);
@@ -510,7 +545,8 @@
         if let Some(limit) = &mut health.rate_limit {
             limit.sent = limit.sent.saturating_add(1);
         }
-        Some(health.slots.take(key, turn, &self.returns))
+        let slot = health.slots.take(&self.open, key, turn, &self.returns);
+        Some(slot)
     }
 
     /// Records that a subrequest has taken longer than expected; it may still be answered.
@@ -674,7 +710,7 @@
 
     /// Returns the number of subrequests that have no result yet.
     pub fn open_subrequests(&self) -> u32 {
-        self.health.values().map(|it| it.slots.taken()).sum()
+        self.open.taken()
     }
 
     /// Returns the number of targets that state a limit on their rate of requests.
--- a/src/process/slot.rs
+++ b/src/process/slot.rs
@@ -10,7 +10,7 @@
 use super::pacing::Turn;
 use super::registry::TargetKey;
 
-/// The slots of one target.
+/// The slots of one target, or of a node.
 #[derive(Debug, Default)]
 pub(super) struct Slots(Arc<()>);
 
@@ -20,11 +20,18 @@
         u32::try_from(Arc::strong_count(&self.0) - 1).unwrap_or(u32::MAX)
     }
 
-    /// Takes a slot of the target, which has the given key, with its turn if the rate of the target is bounded.
-    pub(super) fn take(&self, target: TargetKey, turn: Option<Turn>, returns: &Returns) -> Slot {
+    /// Takes a slot of the target, which has the given key, and of the node, with the turn if the rate of the target is
+    /// bounded.
+    pub(super) fn take(
+        &self,
+        node: &Self,
+        target: TargetKey,
+        turn: Option<Turn>,
+        returns: &Returns,
+    ) -> Slot {
         Slot {
             target,
-            _taken: Arc::clone(&self.0),
+            _taken: [Arc::clone(&self.0), Arc::clone(&node.0)],
             is_sent: AtomicBool::new(false),
             costs: Costs { turn, extra: None },
             returns: returns.clone(),
@@ -52,12 +59,12 @@
     }
 }
 
-/// The place of one subrequest at its target, taken until this is dropped.
+/// The place of one subrequest at its target and among those of its node, taken until this is dropped.
 #[derive(Debug)]
 #[must_use = "a slot that is dropped is free again"]
 pub struct Slot {
     target: TargetKey,
-    _taken: Arc<()>,
+    _taken: [Arc<()>; 2],
     is_sent: AtomicBool,
     costs: Costs,
     returns: Returns,
--- a/src/request/fanout.rs
+++ b/src/request/fanout.rs
@@ -5,6 +5,7 @@
 //! machine uses no clock and no socket; `docs/decisions/008-platform.md` gives the reasons.
 
 use std::collections::BTreeMap;
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -48,6 +49,10 @@
 /// the lower bound for services without a target.
 const RETRY_AFTER_SHED: Duration = Duration::from_millis(100);
 
+/// The `Retry-After` if the node has no memory for the subrequests of a query. It is random, so that callers do not
+/// come back at the same time, and shorter than the third of a deadline for which most callers wait.
+const RETRY_AFTER_NO_ROOM: Range<Duration> = Duration::from_millis(150)..Duration::from_millis(600);
+
 /// The parameters of one request.
 #[derive(Debug, Clone)]
 pub struct Plan {
@@ -312,8 +317,16 @@
         actions
     }
 
-    /// Returns a refusal if too few services have a target for the least coverage.
+    /// Returns a refusal if too few services have a target for the least coverage, or if the node has no room for the
+    /// subrequests of a query.
     fn refusal_if_infeasible(&self, now: Moment, placement: &mut Placement) -> Option<Verdict> {
+        if self.record_limit.is_some() && !placement.has_room(self.shards.len(), self.shards.len())
+        {
+            return Some(Verdict::Refused {
+                reason: Reason::Memory,
+                retry_after: placement.draw_delay(RETRY_AFTER_NO_ROOM),
+            });
+        }
         let services = || self.shards.iter().map(|shard| &*shard.service);
         // A query that has to wait for several targets would take from others what they could use now.
         let available_by = match self.record_limit {
@@ -365,13 +378,12 @@
             self.fail_if_none_open(shard_index, Reason::NoBudget);
             return;
         }
-        let (table, expected) = (&self.plan.table, self.plan.expected_latency);
         let cause = if shard.tried.is_empty() && !is_extra {
             Cause::First
         } else {
             Cause::Retry
         };
-        let slot = placement.pick(table, &service, &shard.tried, cause, expected, now);
+        let slot = self.pick(shard_index, cause, now, placement);
         if let Some(mut slot) = slot {
             if is_extra {
                 slot.set_extra(service);
@@ -401,6 +413,22 @@
         }
     }
 
+    /// Chooses a target for a shard, if the node has room for a further subrequest.
+    fn pick(
+        &self,
+        shard_index: usize,
+        cause: Cause,
+        now: Moment,
+        placement: &mut Placement,
+    ) -> Option<Slot> {
+        if !placement.has_room(1, self.shards.len()) {
+            return None;
+        }
+        let shard = &self.shards[shard_index];
+        let (table, expected) = (&self.plan.table, self.plan.expected_latency);
+        placement.pick(table, &shard.service, &shard.tried, cause, expected, now)
+    }
+
     /// Schedules the next attempt to send a shard's subrequest, or fails the shard with the reason if that is
     /// later than the request may wait.
     fn wait_for_capacity(
@@ -584,9 +612,8 @@
         if !placement.budget.try_withdraw(&service) {
             return;
         }
-        let (table, expected) = (&self.plan.table, self.plan.expected_latency);
-        let (tried, cause) = (&shard.tried, Cause::Hedge);
-        let slot = placement.pick(table, &service, tried, cause, expected, now);
+        let cause = Cause::Hedge;
+        let slot = self.pick(shard_index, cause, now, placement);
         if let Some(mut slot) = slot {
             slot.set_extra(service);
             self.extra.hedges += 1;
--- a/standins/src/platform/target.rs
+++ b/standins/src/platform/target.rs
@@ -168,6 +168,8 @@
     open_connections: AtomicUsize,
     /// The number of requests whose connection the sender closed while they ran.
     abandoned_requests: AtomicUsize,
+    /// The pause between two blocks of a flood.
+    flood_pause: Mutex<Duration>,
     /// The bytes that floods have written.
     flooded_bytes: AtomicUsize,
 }
@@ -193,6 +195,7 @@
             journal: Mutex::default(),
             open_connections: AtomicUsize::new(0),
             abandoned_requests: AtomicUsize::new(0),
+            flood_pause: Mutex::default(),
             flooded_bytes: AtomicUsize::new(0),
         });
         let stop = CancellationToken::new();
@@ -241,6 +244,11 @@
         *lock(&self.shared.behaviour) = behaviour;
     }
 
+    /// Sets how long further floods pause between two blocks of some kilobytes; they do not pause by default.
+    pub fn set_flood_pause(&self, pause: Duration) {
+        *lock(&self.shared.flood_pause) = pause;
+    }
+
     /// Sets the time for which the target works on each further request.
     pub fn set_service_time(&self, time: Duration) {
         *lock(&self.shared.service_time) = time;
@@ -397,11 +405,15 @@
             Behaviour::Flood(flood) => {
                 stream.write_all(&flood.opening(&headers, body)).await?;
                 let block = flood.repeated().repeat(FLOOD_BLOCK_REPEATS);
+                let pause = *lock(&shared.flood_pause);
                 loop {
                     stream.write_all(&block).await?;
                     shared
                         .flooded_bytes
                         .fetch_add(block.len(), Ordering::SeqCst);
+                    if !pause.is_zero() && !simulate_work(&mut stream, &mut buffer, pause).await? {
+                        return Ok(());
+                    }
                 }
             }
             Behaviour::NeverAnswer => while stream.read_buf(&mut buffer).await? > 0 {},
--- a/tests/entry_failure.rs
+++ b/tests/entry_failure.rs
@@ -128,6 +128,7 @@
         rollout: None,
         target_heartbeat: Duration::from_secs(1),
         memory: Budget::unlimited(),
+        target_memory: Budget::unlimited(),
         balancing: redwinggrade::balancing::Mode::Separate,
     };
     let platform = Platform {
--- a/tests/fanout.rs
+++ b/tests/fanout.rs
@@ -26,6 +26,10 @@
 use rstest::rstest;
 
 const HEDGE_DELAY_MS: u64 = 40;
+const ANSWERED: Observation = Observation::Answered {
+    took: EXPECTED_LATENCY,
+    expected: EXPECTED_LATENCY,
+};
 
 struct RequestDriver {
     fanout: Fanout,
@@ -482,11 +486,7 @@
     driver.start().end(0, succeeded(1), at(20));
     tick_until(&mut driver, at(900));
     assert_eq!(driver.verdict, None);
-    let sign = Observation::Answered {
-        took: EXPECTED_LATENCY,
-        expected: EXPECTED_LATENCY,
-    };
-    driver.placement.observe(taken[0], sign, at(900));
+    driver.placement.observe(taken[0], ANSWERED, at(900));
     tick_until(&mut driver, at(1_000));
     assert_eq!(
         driver.sent.len(),
@@ -656,3 +656,62 @@
     }
     assert_eq!(retries, 5);
 }
+
+/// Guards against queries that are refused for good because they have more shards than subrequests may be open.
+#[test]
+fn query_wider_than_the_room_is_served_in_parts() {
+    let mut placement = placement_with_pairs(8);
+    placement.set_subrequests_max(3);
+    let mut driver = RequestDriver::open(Kind::Idempotent, gather(8, 1.0), 8, placement);
+    driver.start();
+    let mut now = at(0);
+    let mut ended = 0;
+    while driver.verdict.is_none() && now < at(100) {
+        assert!(driver.placement.open_subrequests() <= 3);
+        now = now + ms(1);
+        driver.step(Event::Tick, now);
+        while ended < driver.sent.len() {
+            driver.end(ended, succeeded(1), now);
+            let target = driver.sent[ended].1;
+            driver.placement.observe(target, ANSWERED, now);
+            ended += 1;
+        }
+    }
+    assert!(
+        matches!(
+            driver.verdict,
+            Some(Verdict::Merged {
+                missing_shards: 0,
+                ..
+            })
+        ),
+        "{:?}",
+        driver.verdict
+    );
+}
+
+/// Guards against queries that start without room for their subrequests, against single requests that they keep out,
+/// and against callers that come back at the same time.
+#[test]
+fn query_without_room_is_refused_and_a_single_request_is_sent() {
+    let mut placement = placement_with_pairs(2);
+    placement.set_subrequests_max(8);
+    let taken = use_up_capacity(&mut placement, "s1");
+    assert!(
+        taken.len() >= 6,
+        "the query has no room for two subrequests"
+    );
+    let mut driver = RequestDriver::open(Kind::Idempotent, gather(2, 0.5), 2, placement);
+    let verdict = driver.start().verdict.take();
+    let Some(Verdict::Refused {
+        reason: Reason::Memory,
+        retry_after,
+    }) = verdict
+    else {
+        panic!("{verdict:?}");
+    };
+    assert!((ms(150)..ms(600)).contains(&retry_after), "{retry_after:?}");
+    let mut driver = RequestDriver::open(Kind::Idempotent, single_target(), 1, driver.placement);
+    driver.start();
+    assert_eq!(driver.sent.len(), 1);
+}
