--- a/src/connection/target.rs
+++ b/src/connection/target.rs
@@ -13,7 +13,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::header::{CONTENT_TYPE, HOST, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
@@ -23,6 +24,7 @@
 use tokio::sync::mpsc;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::memory::Budget;
 use crate::time::Moment;
 use crate::wire::exchange::Holding;
 use crate::wire::{Outcome, Reason, Version};
@@ -36,6 +38,9 @@
 /// Maximum body of a target's answer; it bounds the memory that one running subrequest takes.
 pub const ANSWER_MAX_BYTES: usize = 1 << 20;
 
+/// Maximum size of the bodies of all answers that a gateway holds.
+pub const ANSWERS_MAX_BYTES: usize = 32 << 20;
+
 /// Number of times that one run of a task polls the request and its connection in turn. An answer
 /// takes three rounds: one each for its head, its body and its end.
 pub(super) const POLL_ROUNDS: usize = 3;
@@ -181,19 +186,24 @@
     }
 }
 
-/// The address of a target and the `Host` header of requests to it.
+/// The address of a target, the `Host` header of requests to it, and the memory for its answers.
 #[derive(Debug, Clone)]
 pub struct Target {
     address: SocketAddr,
     host: HeaderValue,
+    answers: Budget,
 }
 
 impl Target {
-    /// Creates a target from its address.
-    pub fn new(address: SocketAddr) -> Self {
+    /// Creates a target from its address. The bodies of its answers count in `answers` until they are dropped.
+    pub fn new(address: SocketAddr, answers: Budget) -> Self {
         let host = HeaderValue::try_from(address.to_string())
             .expect("a socket address is a valid header value");
-        Self { address, host }
+        Self {
+            address,
+            host,
+            answers,
+        }
     }
 
     /// Returns the address that requests are sent to.
@@ -362,8 +372,9 @@
         let mut connection_ended = false;
         let head_received = AtomicBool::new(false);
         let request = self.target.request(operation, &mut self.version);
+        let answers = self.target.answers.clone();
         let exchange = async {
-            let reply = send_request(sender, request, operation, &head_received).await;
+            let reply = send_request(sender, request, operation, &head_received, &answers).await;
             // An operation on a connection that is not ready would be reported as not sent.
             let ready = sender.ready().await.is_ok();
             (reply, ready)
@@ -458,6 +469,7 @@
     request: Request<Full<Bytes>>,
     operation: &Operation,
     head_received: &AtomicBool,
+    answers: &Budget,
 ) -> Reply {
     let lost = || match operation {
         Operation::Search(_) => OperationOutcome::Lost(Reason::ConnectionLost),
@@ -478,9 +490,9 @@
     head_received.store(true, Ordering::Relaxed);
     let (head, body) = response.into_parts();
     let generation = head.headers.get(GENERATION).map(parse_generation);
-    let outcome = match Limited::new(body, ANSWER_MAX_BYTES).collect().await {
-        Ok(body) => interpret_response(&Response::from_parts(head, body.to_bytes()), operation),
-        Err(_) => lost(),
+    let outcome = match receive_body(body, answers).await {
+        Some(body) => interpret_response(&Response::from_parts(head, body), operation),
+        None => lost(),
     };
     Reply {
         outcome,
@@ -488,6 +500,22 @@
     }
 }
 
+/// Receives a body; absent if the connection ends or there is no memory for the rest.
+///
+/// The received parts are copied into one buffer: each of them keeps the whole read buffer that it lies in, also if it
+/// is a chunk of one byte.
+async fn receive_body(mut body: Incoming, answers: &Budget) -> Option<Bytes> {
+    let mut reception = answers.start_answer(ANSWER_MAX_BYTES);
+    while let Some(frame) = body.frame().await {
+        // Trailers are not used.
+        if let Ok(data) = frame.ok()?.into_data() {
+            // The budget receives no bodies of requests that could be displaced, so that the time does not matter.
+            reception.append(&data, Moment::ZERO).ok()?;
+        }
+    }
+    Some(reception.finish())
+}
+
 /// Returns the outcome that a complete response stands for.
 ///
 /// The statuses 429, 503, 410 and 408 are taken to mean that the target did not start the search; after any
--- a/src/process/gateway.rs
+++ b/src/process/gateway.rs
@@ -23,8 +23,10 @@
 use super::gate::{Action, Completion, Event, Gate, Job, JobKey};
 use super::metrics::Metrics;
 use super::ramp::Stage;
+use crate::connection::memory::Budget;
 use crate::connection::target::{
-    Connection, ConnectionEvent, Operation, OperationOutcome, Reply, Search, Status, Target,
+    ANSWERS_MAX_BYTES, Connection, ConnectionEvent, Operation, OperationOutcome, Reply, Search,
+    Status, Target,
 };
 use crate::time::{Clock, Moment};
 use crate::version::policy;
@@ -109,6 +111,8 @@
     /// Actors of targets that were given up and whose running searches have not all ended.
     closing: Mutex<HashMap<(String, SocketAddr), ActorRef<Message>>>,
     summaries: Mutex<SummaryTable>,
+    /// The memory for the answers of all owned targets.
+    answers: Budget,
 }
 
 /// An owned target and the actor that serves it.
@@ -172,6 +176,7 @@
                 ownership_change: tokio::sync::Mutex::default(),
                 closing: Mutex::default(),
                 summaries: Mutex::default(),
+                answers: Budget::open(ANSWERS_MAX_BYTES),
             }),
         }
     }
@@ -624,7 +629,7 @@
         let timer_task = run_timer(Arc::clone(&timer), shared.clock, myself.clone());
         let mut state = State {
             gate: Gate::open(owned.policy, owned.valid_from, now),
-            target: Target::new(owned.address),
+            target: Target::new(owned.address, shared.answers.clone()),
             timer,
             _timer_task: AbortOnDropHandle::new(tokio::spawn(timer_task)),
             epoch: Arc::new(AtomicU64::new(shared.epoch.load(Ordering::Acquire))),
