Leave a target alone for the Retry-After that it states

Nothing read the header: requests went on, and callers were told to come back after 0.1 s.

Change: the target gets no first subrequest, retry or hedge for that time, drawn longer by up to a quarter, and then one at a time until it answers one. A request without another target is refused at once with the time until the first one returns, as target_wait. New metric turned_away_targets.

The soak does not check the rule.

--- a/src/connection/outbound.rs
+++ b/src/connection/outbound.rs
@@ -117,6 +117,8 @@
     pub rate_limit: RateLimit,
     /// Whether the target states that it is leaving.
     pub leaving: bool,
+    /// For how long the target wants no further request of this node, if it states so.
+    pub retry_after: Option<Duration>,
 }
 
 /// The limit on the rate of requests that an answer states, which holds for all nodes together.
@@ -394,6 +396,7 @@
             keep_alive: None,
             rate_limit: RateLimit::Unknown,
             leaving: false,
+            retry_after: None,
         }
     }
 }
--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -778,6 +778,9 @@
         meters
             .limited_targets
             .set(count(placement.limited_targets()));
+        meters
+            .turned_away_targets
+            .set(count(placement.turned_away_targets(now)));
         drop(placement);
         meters
             .nodes
--- a/src/process/entry/serve.rs
+++ b/src/process/entry/serve.rs
@@ -359,10 +359,28 @@
             shared.record_latency(&self.route, took, now);
         }
         drop(guard);
+        self.record_turned_away(&endpoint, result.retry_after, now);
         self.log_ended(&call, &endpoint, &result.outcome, took, now);
         (self.index, result.outcome)
     }
 
+    /// Records for how long the target wants no further request of this node, and logs it once for that time.
+    fn record_turned_away(&self, endpoint: &Endpoint, time: Option<Duration>, now: Moment) {
+        let shared = &self.shared;
+        let Some(time) = time else {
+            return;
+        };
+        let is_first = shared
+            .placement()
+            .record_turned_away(endpoint.key, time, now);
+        if is_first && shared.log_limits().subrequests.admit(now) {
+            log::info!(
+                target_name:% = endpoint.name, service:% = self.service, for_ms = millis_rounded(time);
+                "target turns requests away for a time; it gets none until then"
+            );
+        }
+    }
+
     /// Records what the answer says about the target's rate limit, and logs changes of it.
     fn record_rate_limit(
         &self,
--- a/src/process/meters.rs
+++ b/src/process/meters.rs
@@ -93,6 +93,8 @@
     pub targets: Gauge,
     /// Targets that state a limit on their requests.
     pub limited_targets: Gauge,
+    /// Targets that get no subrequests because they have turned one away for a stated time.
+    pub turned_away_targets: Gauge,
     /// Subrequests that have no result yet.
     pub open_subrequests: Gauge,
     /// Requests refused because their tenant had spent its quota.
@@ -151,6 +153,7 @@
             store_up: Gauge::default(),
             targets: Gauge::default(),
             limited_targets: Gauge::default(),
+            turned_away_targets: Gauge::default(),
             open_subrequests: Gauge::default(),
             throttled_requests: Counter::default(),
             quota_usage: Histogram::new([0.1, 0.25, 0.5, 0.75, 0.9, 1.0, 1.25, 1.5, 2.0, 4.0]),
@@ -233,6 +236,11 @@
             "Targets that state a limit on their requests",
             self.limited_targets.clone(),
         );
+        registry.register(
+            "turned_away_targets",
+            "Targets that have turned requests away for a stated time",
+            self.turned_away_targets.clone(),
+        );
         registry.register(
             "open_legs",
             "Subrequests that have no result yet",
--- a/src/process/placement.rs
+++ b/src/process/placement.rs
@@ -69,6 +69,8 @@
 /// One part in this number of the subrequests that a node may have open is kept for requests to single targets. Queries
 /// over many shards whose targets do not answer take all others.
 const SINGLE_TARGET_RESERVE_ONE_IN: u32 = 8;
+/// Maximum random increase of the time for which a target wants no subrequests, as a fraction.
+const RETURN_SPREAD: f64 = 0.25;
 /// Maximum random increase of a target's cost, as a fraction, so that nodes do not all choose the same
 /// target.
 const COST_JITTER: f64 = 0.15;
@@ -124,6 +126,11 @@
     probe_backoff: Duration,
     /// Until when the target gets no subrequests because it closed a connection.
     avoid_until: Moment,
+    /// Until when the target gets no subrequests because it has turned one away for a stated time.
+    turned_away_until: Moment,
+    /// Whether the target gets one subrequest at a time, because it has turned one away for a stated time and has
+    /// answered none since.
+    returning: bool,
     /// The limit on the rate of requests that the target states, while it does.
     rate_limit: Option<StatedLimit>,
     /// The requests that this node sent to the target as one of a version that is rolled out.
@@ -174,6 +181,8 @@
             next_probe: Moment::NEVER,
             probe_backoff: Duration::ZERO,
             avoid_until: Moment::ZERO,
+            turned_away_until: Moment::ZERO,
+            returning: false,
             rate_limit: None,
             sent_as_new: 0,
         }
@@ -268,6 +277,16 @@
     NoResult,
 }
 
+impl Observation {
+    /// Tells whether the target has answered, be it with a refusal.
+    const fn is_answer(self) -> bool {
+        matches!(
+            self,
+            Self::Answered { .. } | Self::Refused | Self::Failed | Self::Misdirected
+        )
+    }
+}
+
 impl Placement {
     /// Creates a placement without targets. `node` is this node's name; `seed` starts the random numbers.
     pub fn open(data_centre: Arc<str>, budget: Budget, node: &str, seed: u64) -> Self {
@@ -508,6 +527,9 @@
             {
                 continue;
             }
+            if health.turned_away_until > now || (health.returning && health.slots.taken() > 0) {
+                continue;
+            }
             if cause == Cause::Hedge && health.rate_limit.is_some() {
                 continue;
             }
@@ -603,6 +625,9 @@
             return;
         };
         health.decay(now);
+        if observation.is_answer() {
+            health.returning = false;
+        }
         match observation {
             Observation::Answered { took, expected } => {
                 let ratio = took.as_secs_f64() / expected.as_secs_f64().max(0.001);
@@ -708,6 +733,36 @@
         }
     }
 
+    /// Records that the target has turned a subrequest away and wants no other one for a time. Returns whether it had not
+    /// done so before.
+    ///
+    /// The time is drawn longer by up to [`RETURN_SPREAD`], so that nodes which were turned away together do not return
+    /// together.
+    pub fn record_turned_away(&mut self, key: TargetKey, time: Duration, now: Moment) -> bool {
+        let Some(health) = self.health.get_mut(key) else {
+            return false;
+        };
+        let was_turned_away = health.turned_away_until > now;
+        let spread = time.mul_f64(RETURN_SPREAD * self.random.random::<f64>());
+        health.turned_away_until = health.turned_away_until.max(now + time + spread);
+        health.returning = true;
+        !was_turned_away
+    }
+
+    /// Returns the number of targets that get no subrequests because they have turned one away for a stated time.
+    pub fn turned_away_targets(&self, now: Moment) -> usize {
+        let targets = self.health.values();
+        targets.filter(|it| it.turned_away_until > now).count()
+    }
+
+    /// Returns whether a target of the service that can be reached has turned requests away for a stated time.
+    pub fn is_turned_away(&self, service: &str, now: Moment) -> bool {
+        let usable = self.registry.usable(service);
+        usable
+            .filter_map(|(key, _)| self.health.get(key))
+            .any(|health| health.turned_away_until > now && !health.unreachable)
+    }
+
     /// Returns the number of subrequests that have no result yet.
     pub fn open_subrequests(&self) -> u32 {
         self.open.taken()
@@ -751,7 +806,7 @@
                     let rate = Rate::stated(limit.per_second);
                     self.pacing.next_send(&target.name, rate, now)
                 });
-                reachable_at.max(allowed_at)
+                reachable_at.max(allowed_at).max(health.turned_away_until)
             })
             .min()
     }
--- a/src/request/fanout.rs
+++ b/src/request/fanout.rs
@@ -346,6 +346,8 @@
             .max();
         let reason = if services().any(|service| placement.is_limited(service, now)) {
             Reason::TargetLimit
+        } else if services().any(|service| placement.is_turned_away(service, now)) {
+            Reason::TargetWait
         } else {
             Reason::NoTarget
         };
@@ -409,6 +411,9 @@
             Some(moment) if placement.is_limited(&service, now) => {
                 self.wait_for_capacity(shard_index, moment, now, Reason::TargetLimit);
             }
+            Some(moment) if placement.is_turned_away(&service, now) => {
+                self.wait_for_capacity(shard_index, moment, now, Reason::TargetWait);
+            }
             _ => self.fail_if_none_open(shard_index, Reason::NoTarget),
         }
     }
--- a/src/request/reply.rs
+++ b/src/request/reply.rs
@@ -124,6 +124,9 @@
     /// The limits that the targets of a service state leave no room.
     #[display("target_limit")]
     TargetLimit,
+    /// The targets of a service have turned requests away and stated for how long.
+    #[display("target_wait")]
+    TargetWait,
     /// No target has capacity, or the shard has reached its limit on subrequests.
     #[display("shed")]
     Shed,
@@ -145,7 +148,7 @@
     /// This node runs too many requests or is overloaded.
     #[display("overload")]
     Overload,
-    /// The memory of this node for callers is used up.
+    /// The memory of this node for callers, or for connections to targets, is used up.
     #[display("memory")]
     Memory,
 }
--- a/standins/src/platform/target.rs
+++ b/standins/src/platform/target.rs
@@ -164,6 +164,8 @@
     /// The requests per second that the target's answers name as its limit, if any.
     rate_limit: Mutex<Option<f64>>,
     leaving: AtomicBool,
+    /// The `Retry-After` of refusals, if any.
+    retry_after: Mutex<Option<String>>,
     journal: Mutex<Vec<Arrival>>,
     open_connections: AtomicUsize,
     /// The number of requests whose connection the sender closed while they ran.
@@ -192,6 +194,7 @@
             service_time: Mutex::new(spec.service_time),
             rate_limit: Mutex::default(),
             leaving: AtomicBool::new(false),
+            retry_after: Mutex::default(),
             journal: Mutex::default(),
             open_connections: AtomicUsize::new(0),
             abandoned_requests: AtomicUsize::new(0),
@@ -265,6 +268,12 @@
         self.shared.leaving.store(leaving, Ordering::SeqCst);
     }
 
+    /// Sets the `Retry-After` of further refusals, which then repeat the request id, or `None` for refusals without
+    /// both.
+    pub fn set_retry_after(&self, value: Option<&str>) {
+        *lock(&self.shared.retry_after) = value.map(str::to_owned);
+    }
+
     /// Returns all requests that the target received, in order of arrival.
     pub fn journal(&self) -> Vec<Arrival> {
         lock(&self.shared.journal).clone()
@@ -347,13 +356,11 @@
             continue;
         }
         if behaviour == Behaviour::Refuse {
-            respond(
-                &mut stream,
-                "503 Service Unavailable",
-                "X-Not-Executed: 1\r\n",
-                b"",
-            )
-            .await?;
+            let retry_after = lock(&shared.retry_after).clone();
+            let retry_after =
+                retry_after.map(|it| format!("X-Request-Id: {id}\r\nRetry-After: {it}\r\n"));
+            let headers = format!("X-Not-Executed: 1\r\n{}", retry_after.unwrap_or_default());
+            respond(&mut stream, "503 Service Unavailable", &headers, b"").await?;
             continue;
         }
         let service_time = *lock(&shared.service_time);
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -485,3 +485,26 @@
     let open = placement.stats(key, at(1)).map(|stats| stats.in_flight);
     assert_eq!(open, Some(0));
 }
+
+/// Guards against requests to a target that wants none for a time, and against all waiting requests that come to it
+/// when the time ends.
+#[test]
+fn target_that_turned_a_request_away_returns_with_one_request_at_a_time() {
+    let mut placement = placement(AMPLE_BOUND);
+    let key = add_target(&mut placement, "t1", target_report("s0", LOCAL, 1), at(0));
+    let table = table(route(Kind::Idempotent, 2, single_target()), 1, None);
+    assert_eq!(pick(&mut placement, &table, at(0)), Some(key));
+    placement.observe(key, Observation::Refused, at(10));
+    assert!(placement.record_turned_away(key, ms(1_000), at(10)));
+    assert!(!placement.record_turned_away(key, ms(400), at(20)), "known");
+    assert_eq!(pick(&mut placement, &table, at(1_000)), None);
+    assert!(placement.is_turned_away("s0", at(1_000)));
+    let returns_at = placement.available_at("s0", at(1_000));
+    let returns_at = returns_at.expect("the service has a target");
+    assert!((at(1_010)..=at(1_260)).contains(&returns_at));
+    assert_eq!(pick(&mut placement, &table, returns_at), Some(key));
+    assert_eq!(pick(&mut placement, &table, returns_at), None);
+    placement.observe(key, answered(20), returns_at + ms(20));
+    assert_eq!(pick(&mut placement, &table, returns_at + ms(20)), Some(key));
+    assert_eq!(pick(&mut placement, &table, returns_at + ms(20)), Some(key));
+}
