Keep no connection idle while buffers of others need the memory

Idle connections keep the buffers that they have grown. After small answers from many targets, large ones from each of them filled the reserve, and the sixth of eight was given up as too large (trial).

Change: a connection is closed in place of becoming idle while grown buffers use the reserve. The least memory of a machine and very large numbers of descriptors give a budget for at least one connection.

Evidence: hostile_targets::large_answers_are_served_one_after_the_other failed without the change and passes with it.

--- a/src/connection/memory.rs
+++ b/src/connection/memory.rs
@@ -150,7 +150,7 @@
 
     /// Returns the capacity of a budget that has room for this many things of the given least cost.
     pub const fn capacity_for(count: usize, bytes: usize) -> usize {
-        (count * bytes).saturating_mul(RESERVE_ONE_IN) / (RESERVE_ONE_IN - 1)
+        count.saturating_mul(bytes).saturating_mul(RESERVE_ONE_IN) / (RESERVE_ONE_IN - 1)
     }
 
     /// Returns for how many things of the given least cost there is room, if nothing else is held.
--- a/src/connection/outbound.rs
+++ b/src/connection/outbound.rs
@@ -362,7 +362,8 @@
     }
 
     fn put_idle(&self, key: TargetKey, mut connection: Connection, keep_alive: Option<Duration>) {
-        if connection.closed {
+        // Idle connections must not hold the memory in which the buffers of others grow.
+        if connection.closed || self.connections.is_short() {
             return;
         }
         let keep_alive = keep_alive.map_or(KEEP_ALIVE_DEFAULT, |keep| {
