Hold connections to targets and their buffers in two budgets

Beside bodies without end, 33 of 39 ordinary requests were answered: what buffers had grown took the room of connections, also that which is kept for requests to single targets.

Change: outbound::Memory has one budget for connections, which is also their maximum number, and one for what buffers grow. A target that has turned a request away still returns with one request at a time if an answer to an earlier request arrives meanwhile.

--- a/src/connection/memory.rs
+++ b/src/connection/memory.rs
@@ -26,7 +26,7 @@
 /// The unit in which small bodies are counted and their progress is measured. The answers of all shards to a query
 /// are held at the same time, and most of them are smaller than this.
 const SMALL_STEP_BYTES: usize = 1 << 10;
-/// One part in this number of the budget is kept for connections, small bodies and what grows.
+/// One part in this number of the budget is kept for connections and small bodies.
 const RESERVE_ONE_IN: usize = 4;
 /// How long a body must have made no step before another one may displace it. A caller on a slow link of
 /// 1 Mbit/s makes a step of 16 KiB in half of this time.
@@ -136,26 +136,19 @@
         })
     }
 
-    /// Holds the least cost of something that may grow, for which all but the reserve may be used.
+    /// Holds bytes, for which the whole budget may be used and nothing is displaced.
     pub fn hold(&self, bytes: usize) -> Result<Permit, Exceeded> {
-        let mut state = self.lock();
-        let limit = state.unreserved();
-        state.reserve(bytes, limit)?;
-        drop(state);
-        Ok(Permit {
-            budget: self.clone(),
-            bytes,
-        })
-    }
-
-    /// Returns the capacity of a budget that has room for this many things of the given least cost.
-    pub const fn capacity_for(count: usize, bytes: usize) -> usize {
-        count.saturating_mul(bytes).saturating_mul(RESERVE_ONE_IN) / (RESERVE_ONE_IN - 1)
+        let mut permit = self.hold_nothing();
+        permit.grow(bytes)?;
+        Ok(permit)
     }
 
-    /// Returns for how many things of the given least cost there is room, if nothing else is held.
-    pub fn room_for(&self, bytes: usize) -> usize {
-        self.lock().unreserved() / bytes
+    /// Returns a permit that may grow.
+    pub fn hold_nothing(&self) -> Permit {
+        Permit {
+            budget: self.clone(),
+            bytes: 0,
+        }
     }
 
     /// Holds bytes that exist already, even beyond the budget; new work is refused until they are released.
@@ -172,6 +165,11 @@
         self.lock().usage.refused_connections += 1;
     }
 
+    /// Counts an answer that found no room.
+    pub fn count_refused_answer(&self) {
+        self.lock().usage.refused_answers += 1;
+    }
+
     /// Counts a connection that was closed for a new one.
     pub fn count_displaced_connection(&self) {
         self.lock().usage.displaced_connections += 1;
@@ -220,10 +218,7 @@
     /// Stalled bodies of requests are displaced for it.
     pub fn start_answer(&self, max_bytes: usize) -> AnswerReception {
         AnswerReception {
-            permit: Permit {
-                budget: self.clone(),
-                bytes: 0,
-            },
+            permit: self.hold_nothing(),
             buffer: Buffer::new(max_bytes),
         }
     }
@@ -235,7 +230,7 @@
 }
 
 impl State {
-    /// Returns the bytes that are not kept for connections, small bodies and what grows.
+    /// Returns the bytes that are not kept for connections and small bodies.
     const fn unreserved(&self) -> usize {
         self.usage.capacity - self.usage.capacity / RESERVE_ONE_IN
     }
@@ -342,10 +337,7 @@
     pub fn grow(&mut self, bytes: usize) -> Result<(), Exceeded> {
         let mut state = self.budget.lock();
         let capacity = state.usage.capacity;
-        if state.reserve(bytes, capacity).is_err() {
-            state.usage.refused_answers += 1;
-            return Err(Exceeded);
-        }
+        state.reserve(bytes, capacity)?;
         drop(state);
         self.bytes += bytes;
         Ok(())
--- a/src/connection/metered.rs
+++ b/src/connection/metered.rs
@@ -13,7 +13,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-use super::memory::Permit;
+use super::memory::{Budget, Permit};
 
 /// The part of a connection's buffer that its least cost contains, and the unit in which the rest is counted.
 const BUFFER_STEP_BYTES: usize = 8 << 10;
@@ -70,18 +70,24 @@
 /// The buffer that the HTTP library fills from a stream, as it counts in a budget.
 #[derive(Debug)]
 pub struct Buffer {
+    /// Held as long as the connection.
+    _connection: Permit,
+    buffers: Budget,
+    /// Covers what the buffer has beyond its first step.
     permit: Permit,
-    /// The bytes that the permit covers, which never shrink, as the library keeps its buffer.
+    /// The size of the buffer, which never shrinks, as the library keeps it.
     covered: usize,
     max_bytes: usize,
 }
 
 impl Buffer {
-    /// Returns the buffer of a new connection, which holds at most `max_bytes`. The permit covers the connection and
-    /// the first 8 KiB of the buffer.
-    pub const fn open(permit: Permit, max_bytes: usize) -> Self {
+    /// Returns the buffer of a new connection, which holds at most `max_bytes`. The permit for the connection covers the
+    /// first 8 KiB; the rest is held in `buffers`.
+    pub fn open(connection: Permit, buffers: &Budget, max_bytes: usize) -> Self {
         Self {
-            permit,
+            _connection: connection,
+            buffers: buffers.clone(),
+            permit: buffers.hold_nothing(),
             covered: BUFFER_STEP_BYTES,
             max_bytes,
         }
@@ -95,6 +101,8 @@
         let is_covered = held <= self.covered || self.permit.grow(held - self.covered).is_ok();
         if is_covered {
             self.covered = self.covered.max(held);
+        } else {
+            self.buffers.count_refused_answer();
         }
         is_covered
     }
--- a/src/connection/outbound.rs
+++ b/src/connection/outbound.rs
@@ -32,7 +32,7 @@
 use tokio::net::TcpStream;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::memory::{Budget, Permit, STEP_BYTES};
+use super::memory::{Budget, Permit, STEP_BYTES, Usage};
 use super::metered::{Allowance, Buffer, MeteredStream};
 use super::target::{ANSWER_MAX_BYTES, POLL_ROUNDS};
 use crate::process::registry::TargetKey;
@@ -155,6 +155,47 @@
     ) -> CallResult;
 }
 
+/// The memory for connections to targets. Clones share it.
+#[derive(Debug, Clone)]
+pub struct Memory {
+    /// Holds [`CONNECTION_BYTES`] for each connection, and so bounds their number.
+    connections: Budget,
+    /// Holds what the buffers of all connections have grown beyond that.
+    buffers: Budget,
+}
+
+impl Memory {
+    /// One part in this number of the memory is for what buffers grow.
+    const BUFFERS_ONE_IN: usize = 4;
+
+    /// Returns a memory of `bytes` for at most `connections` connections, and at least one.
+    pub fn open(bytes: usize, connections: usize) -> Self {
+        let buffers = bytes / Self::BUFFERS_ONE_IN;
+        let connections = connections.min((bytes - buffers) / CONNECTION_BYTES).max(1);
+        Self {
+            connections: Budget::open(connections * CONNECTION_BYTES),
+            buffers: Budget::open(buffers),
+        }
+    }
+
+    /// Returns the number of connections that may be open at the same time.
+    pub fn connections_max(&self) -> usize {
+        self.connections.usage().capacity / CONNECTION_BYTES
+    }
+
+    /// Returns what is held and what has been refused.
+    pub fn usage(&self) -> Usage {
+        let (connections, buffers) = (self.connections.usage(), self.buffers.usage());
+        Usage {
+            held: connections.held + buffers.held,
+            capacity: connections.capacity + buffers.capacity,
+            displaced_connections: connections.displaced_connections,
+            refused_answers: buffers.refused_answers,
+            ..Usage::default()
+        }
+    }
+}
+
 /// A pool of idle connections to all targets.
 #[derive(Debug)]
 pub struct Pool {
@@ -164,8 +205,8 @@
     bodies: AtomicUsize,
     /// The memory of this node for callers, in which the bodies count until their last copy is dropped.
     memory: Budget,
-    /// The memory for connections to targets and their buffers.
-    connections: Budget,
+    /// The memory for connections and their buffers.
+    target_memory: Memory,
 }
 
 type Driver = http1::Connection<TokioIo<MeteredStream>, Full<Bytes>>;
@@ -185,14 +226,14 @@
 }
 
 impl Pool {
-    /// Returns an empty pool, whose bodies count in `memory` and whose connections count in `connections`.
-    pub fn new(clock: Clock, memory: Budget, connections: Budget) -> Self {
+    /// Returns an empty pool, whose bodies count in `memory` and whose connections count in `target_memory`.
+    pub fn new(clock: Clock, memory: Budget, target_memory: Memory) -> Self {
         Self {
             clock,
             idle: Mutex::default(),
             bodies: AtomicUsize::new(0),
             memory,
-            connections,
+            target_memory,
         }
     }
 
@@ -210,22 +251,18 @@
         }
     }
 
-    /// Returns the number of connections that may be open at the same time.
-    pub fn connections_max(&self) -> usize {
-        self.connections.room_for(CONNECTION_BYTES)
-    }
-
     async fn open_connection(&self, address: SocketAddr) -> Result<Connection, FailureCause> {
         // The placement opens no more subrequests than there may be connections, so only probes can have used them up.
         let memory = self.hold_connection().ok_or(FailureCause::Unsent)?;
-        let opened = Connection::open(address, memory).await;
+        let opened = Connection::open(address, memory, &self.target_memory.buffers).await;
         opened.map_err(|_unreachable| FailureCause::Unreachable)
     }
 
     /// Holds the memory of a connection, for which idle connections are closed; absent if there is none.
     fn hold_connection(&self) -> Option<Permit> {
         loop {
-            if let Ok(permit) = self.connections.hold(CONNECTION_BYTES) {
+            let connections = &self.target_memory.connections;
+            if let Ok(permit) = connections.hold(CONNECTION_BYTES) {
                 return Some(permit);
             }
             let mut idle = self.lock_idle();
@@ -238,7 +275,7 @@
                 .min_by_key(|(expiry, ..)| *expiry);
             let (_, key, number) = first_to_expire?;
             drop(idle.get_mut(key)?.remove(number));
-            self.connections.count_displaced_connection();
+            connections.count_displaced_connection();
         }
     }
 
@@ -246,7 +283,8 @@
     /// nothing if there is no memory for it.
     pub async fn probe(&self, key: TargetKey, address: SocketAddr) -> Option<bool> {
         let memory = self.hold_connection()?;
-        let reached = match Connection::open(address, memory).await {
+        let buffers = &self.target_memory.buffers;
+        let reached = match Connection::open(address, memory, buffers).await {
             Ok(connection) => {
                 self.put_idle(key, connection, None);
                 true
@@ -363,7 +401,7 @@
 
     fn put_idle(&self, key: TargetKey, mut connection: Connection, keep_alive: Option<Duration>) {
         // Idle connections must not hold the memory in which the buffers of others grow.
-        if connection.closed || self.connections.is_short() {
+        if connection.closed || self.target_memory.buffers.is_short() {
             return;
         }
         let keep_alive = keep_alive.map_or(KEEP_ALIVE_DEFAULT, |keep| {
@@ -415,10 +453,10 @@
 
 impl Connection {
     /// Opens a connection that holds the memory until it is dropped.
-    async fn open(address: SocketAddr, memory: Permit) -> std::io::Result<Self> {
+    async fn open(address: SocketAddr, memory: Permit, buffers: &Budget) -> std::io::Result<Self> {
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, connect(address)).await??;
         let allowance = Allowance::default();
-        let buffer = Buffer::open(memory, BUFFER_MAX_BYTES);
+        let buffer = Buffer::open(memory, buffers, BUFFER_MAX_BYTES);
         let stream = MeteredStream::open(stream, allowance.clone(), buffer);
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(HEAD_MAX_BYTES)
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -34,7 +34,7 @@
 use crate::connection::keyspace::{Keyspace, Revision};
 use crate::connection::memory;
 use crate::connection::mirror::Update;
-use crate::connection::outbound::{Call, Pool, Protocol};
+use crate::connection::outbound::{self, Call, Pool, Protocol};
 use crate::overload::admission::Admission;
 use crate::overload::share::Claim;
 use crate::quota::{self, Quotas};
@@ -76,7 +76,7 @@
     /// The memory that callers may make the node hold.
     pub memory: memory::Budget,
     /// The memory that connections to targets may hold, which also bounds their number.
-    pub target_memory: memory::Budget,
+    pub target_memory: outbound::Memory,
     /// How the node estimates the slowness of targets.
     pub balancing: balancing::Mode,
     /// The bounds on the exposure to versions that are rolled out; absent if roll-outs are off.
@@ -268,7 +268,7 @@
         placement.set_balancing(config.balancing);
         placement.rollouts = Rollouts::open(config.rollout, &config.node.name);
         let pool = Pool::new(clock, config.memory.clone(), config.target_memory.clone());
-        placement.set_subrequests_max(pool.connections_max());
+        placement.set_subrequests_max(config.target_memory.connections_max());
         let mirrors = codec.prefixes().iter().map(|&prefix| Mirror::open(prefix));
         let shared = Arc::new(Shared {
             clock,
--- a/src/process/placement.rs
+++ b/src/process/placement.rs
@@ -625,7 +625,8 @@
             return;
         };
         health.decay(now);
-        if observation.is_answer() {
+        // An answer to a subrequest from before says nothing about the time after.
+        if observation.is_answer() && health.turned_away_until <= now {
             health.returning = false;
         }
         match observation {
--- a/tests/entry_failure.rs
+++ b/tests/entry_failure.rs
@@ -12,6 +12,7 @@
     Batch, Era, Error, Freshness, Keyspace, Lease, Page, Revision, Write,
 };
 use redwinggrade::connection::memory::Budget;
+use redwinggrade::connection::outbound::Memory;
 use redwinggrade::connection::outbound::{Call, CallResult, Endpoint, Protocol};
 use redwinggrade::process::budget::Bound;
 use redwinggrade::process::entry::{Config, Entry, Platform};
@@ -128,7 +129,7 @@
         rollout: None,
         target_heartbeat: Duration::from_secs(1),
         memory: Budget::unlimited(),
-        target_memory: Budget::unlimited(),
+        target_memory: Memory::open(1 << 20, 8),
         balancing: redwinggrade::balancing::Mode::Separate,
     };
     let platform = Platform {
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use proptest::prelude::*;
-use redwinggrade::connection::memory::{Budget, Exceeded, Permit, Reception, STEP_BYTES, hold};
+use redwinggrade::connection::memory::{Budget, Exceeded, Reception, STEP_BYTES, hold};
 use redwinggrade::time::Moment;
 
 const MIB: usize = 1 << 20;
@@ -202,19 +202,19 @@
     assert_eq!(budget.usage().held, 0);
 }
 
-/// Guards against buffers that grow beyond the budget, and against new connections that take the room in which the
-/// others grow.
+/// Guards against buffers that grow beyond the budget, and against growth that is not returned.
 #[test]
-fn permits_grow_into_the_reserve_and_not_beyond() {
-    let capacity = Budget::capacity_for(10, 1_000);
-    let budget = Budget::open(capacity);
-    assert_eq!(budget.room_for(1_000), 10);
-    let mut permits: Vec<Permit> = std::iter::from_fn(|| budget.hold(1_000).ok()).collect();
-    assert_eq!(permits.len(), 10);
-    let grown = permits.iter_mut().map(|it| it.grow(1_000).is_ok());
-    assert_eq!(grown.filter(|is_grown| *is_grown).count(), 3);
-    assert!(budget.usage().held <= capacity);
-    drop(permits);
+fn permits_grow_up_to_the_budget_and_return_it() {
+    let budget = Budget::open(1_000);
+    let mut grown = budget.hold(600).expect("there is room");
+    let mut other = budget.hold_nothing();
+    assert_eq!(other.grow(500), Err(Exceeded));
+    assert_eq!(other.grow(400), Ok(()));
+    assert_eq!(grown.grow(1), Err(Exceeded));
+    assert_eq!(budget.usage().held, 1_000);
+    drop(other);
+    assert_eq!(grown.grow(400), Ok(()));
+    drop(grown);
     assert_eq!(budget.usage().held, 0);
 }
 
