--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -69,7 +69,7 @@
     );
 }
 
-/// Guards against a second run of a request that did not run, of which the caller has been told so.
+/// Guards against a request that stays refused although its run has ended before any target got it.
 #[tokio::test]
 async fn settled_run_decides_on_repetitions() {
     let (ledger, request) = ledger().await;
