--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -19,7 +19,7 @@
 use crate::process::mirror::{Change, Export, Mirror};
 use crate::process::reconciliation::Reconciliation;
 use crate::process::registry::Effect;
-use crate::process::roster::{HEARTBEAT_INTERVAL, Heartbeat, copy_delay};
+use crate::process::roster::{HEARTBEAT_INTERVAL, HEARTBEAT_TIMEOUT, Heartbeat, copy_delay};
 use crate::tenancy::Directory;
 use crate::time::Moment;
 use crate::version::item::{Codec, Item, ItemKind, Node};
@@ -127,6 +127,8 @@
     /// When this node first had settings that neither the store nor a node with a confirmed state had
     /// confirmed.
     unconfirmed_since: Option<Moment>,
+    /// When the confirmation of the settings in force expired, if a log line has told of it.
+    confirmation_expired_at: Option<Moment>,
     /// When the last fetch from another node was started.
     last_fetch: Moment,
     /// The changes that only the copy shows from which the store has come back.
@@ -208,6 +210,7 @@
             newer_peer: None,
             is_fetching: false,
             unconfirmed_since: None,
+            confirmation_expired_at: None,
             last_fetch: Moment::ZERO,
             reconciliation,
             membership: Membership::default(),
@@ -729,6 +732,7 @@
             self.apply_effect(effect);
         }
         self.accept_unconfirmed_settings(now);
+        self.report_confirmation(now);
         self.probe_targets(now);
         self.update_gauges(now);
         self.fetch_if_behind(myself, now);
@@ -937,6 +941,42 @@
             self.shared.extend_freshness(Moment::from_micros(1));
         }
     }
+
+    /// Logs that the confirmation of the settings in force has expired, with the state of each way by which a newer
+    /// version could arrive, and that they are confirmed again.
+    fn report_confirmation(&mut self, now: Moment) {
+        let table = self.shared.route_table.load();
+        let Some(version) = table.as_ref().map(|table| table.version.0) else {
+            return;
+        };
+        let fresh_until = self.shared.fresh_until.load(atomic::Ordering::Acquire);
+        let expired_for = now.since(Moment::from_micros(fresh_until));
+        let unconfirmed_ms = i64::try_from(expired_for.as_millis()).unwrap_or(i64::MAX);
+        let meters = &self.shared.meters;
+        meters.settings_unconfirmed_ms.set(unconfirmed_ms);
+        let is_expired = self.shared.is_uncertain(now);
+        match self.confirmation_expired_at {
+            None if is_expired => {
+                let (heard, elected) = self.shared.roster().count_heard(HEARTBEAT_TIMEOUT, now);
+                log::warn!(
+                    version, serves = self.membership.serves, watches = self.membership.watches,
+                    store_up = self.store_available, heard, elected,
+                    behind = self.newer_peer.is_some(), fetching = self.is_fetching,
+                    lag_ms = millis_rounded(self.shared.lag().at(now));
+                    "settings unconfirmed; a newer version may exist"
+                );
+                self.confirmation_expired_at = Some(now);
+            }
+            Some(expired_at) if !is_expired => {
+                log::info!(
+                    version, unconfirmed_ms = millis_rounded(now.since(expired_at));
+                    "settings confirmed again"
+                );
+                self.confirmation_expired_at = None;
+            }
+            None | Some(_) => {}
+        }
+    }
 }
 
 impl<P> Shared<P> {
--- a/src/process/entry/report.rs
+++ b/src/process/entry/report.rs
@@ -26,6 +26,8 @@
     pub(super) sampled: bool,
     /// The settings version under which the request runs; zero before one is chosen.
     pub(super) version: u64,
+    /// Whether that version was known to be the newest one when it was chosen.
+    pub(super) confirmed: bool,
     pub(super) route: Option<Arc<Route>>,
     /// The tenant whose key the request has.
     pub(super) tenant: Option<Arc<Tenant>>,
@@ -59,6 +61,7 @@
             read_at: shared.clock.now(),
             sampled: xxh3_64(id.as_bytes()).is_multiple_of(Self::SAMPLE_ONE_IN),
             version: 0,
+            confirmed: false,
             route: None,
             tenant: None,
             answered: 0,
@@ -139,7 +142,7 @@
             waited_ms = millis_rounded(self.read_at.since(self.sent_at)),
             objective_ms = route.map(|route| millis_rounded(route.latency_objective)),
             route = route.map_or("", |route| &*route.name), version = self.version,
-            tenant = self.tenant.as_ref().map(|tenant| &*tenant.name),
+            confirmed = self.confirmed, tenant = self.tenant.as_ref().map(|tenant| &*tenant.name),
             answered = self.answered, shards = self.shards,
             missing = self.missing_services.join(","), causes = self.missing_causes,
             legs = self.subrequests, hedges = self.extra.hedges, retries = self.extra.retries,
--- a/src/process/entry/serve.rs
+++ b/src/process/entry/serve.rs
@@ -79,21 +79,22 @@
         let Some(table) = shared.route_table.load_full() else {
             return refused(Reason::NoSettings);
         };
+        report.version = table.version.0;
+        report.confirmed = !shared.is_uncertain(now);
         let Some(route) = table.find(&request.host, request.call.path.path()) else {
-            return if shared.is_uncertain(now) {
-                refused(Reason::UncertainRoute)
-            } else {
+            return if report.confirmed {
                 Verdict::Invalid(Invalid::NoRoute)
+            } else {
+                refused(Reason::UncertainRoute)
             };
         };
         let route = Arc::clone(route);
-        report.version = table.version.0;
         report.route = Some(Arc::clone(&route));
         let Some(sender) = table.identify(&route, request.credential.as_ref()) else {
-            return if shared.is_uncertain(now) {
-                refused(Reason::UncertainKey)
-            } else {
+            return if report.confirmed {
                 Verdict::Invalid(Invalid::UnknownKey)
+            } else {
+                refused(Reason::UncertainKey)
             };
         };
         report.tenant = sender.tenant().cloned();
--- a/src/process/meters.rs
+++ b/src/process/meters.rs
@@ -87,6 +87,8 @@
     pub dropped_log_lines: Gauge,
     /// The version of the settings in force; zero before any are known.
     pub settings_version: Gauge,
+    /// Milliseconds for which nothing has confirmed the settings in force; zero while they are confirmed.
+    pub settings_unconfirmed_ms: Gauge,
     /// One while the store answers, else zero.
     pub store_up: Gauge,
     /// Targets in the registry.
@@ -150,6 +152,7 @@
             outdated_changes: Counter::default(),
             dropped_log_lines: Gauge::default(),
             settings_version: Gauge::default(),
+            settings_unconfirmed_ms: Gauge::default(),
             store_up: Gauge::default(),
             targets: Gauge::default(),
             limited_targets: Gauge::default(),
@@ -225,6 +228,11 @@
             "Version of the settings in force",
             self.settings_version.clone(),
         );
+        registry.register(
+            "settings_unconfirmed_ms",
+            "Milliseconds for which nothing has confirmed the settings in force",
+            self.settings_unconfirmed_ms.clone(),
+        );
         registry.register(
             "store_up",
             "Whether the store answers",
