Let a standby node watch the store where it turns every serving node away

Cause: in each data centre only nodes elected to serve callers could watch the store. When the store turns them all away, none of them counts as watching, but none of the others took the duty over, although they reach the store. Heartbeats then repeat one revision, so no node knows that it is behind. Class: a duty bound to a few nodes that is not handed on when they cannot do it.

Fix: if no node of a data centre that comes before it watches the store for 0.7 s, a node that does not serve callers and reaches the store begins to, in the order of the election and 0.1 s apart. It sends heartbeats as serving nodes do, so that the others fetch from it, and stops when an earlier node watches again.

--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -709,7 +709,8 @@
         let now = self.shared.clock.now();
         self.rounds = self.rounds.wrapping_add(1);
         let node = &self.shared.config.node;
-        self.shared.roster().elect(node, now);
+        let reaches_store = self.store_available && self.latest_change() > Revision::default();
+        self.shared.roster().elect(node, reaches_store, now);
         self.update_follower();
         self.update_membership(now);
         self.share_bounds(now);
--- a/src/process/roster.rs
+++ b/src/process/roster.rs
@@ -46,6 +46,11 @@
 pub const COPY_INTERVAL: Duration = Duration::from_millis(60);
 /// The time after which every node gets one, however many are before it.
 pub const COPY_DELAY_MAX: Duration = Duration::from_secs(6);
+/// How long no node of a data centre may watch the store before nodes that do not serve callers begin to. One serving
+/// node takes over from another within two intervals of [`HEARTBEAT_INTERVAL`] and the time on the way.
+pub const WATCH_GAP_MAX: Duration = Duration::from_millis(700);
+/// The interval at which these nodes begin, one after the other, until one of them reaches the store.
+pub const WATCH_ATTEMPT_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum number of addresses that callers use from a list.
 pub const ADDRESSES_MAX: usize = 64;
 /// Minimum number of addresses in a list, if that many nodes serve callers. A caller whose node fails needs
@@ -111,6 +116,9 @@
     elected_since: Option<Moment>,
     /// Whether this node should watch the store.
     watches: bool,
+    /// Since when no other node watches the store for the data centre, while this node does not serve callers but can
+    /// reach the store.
+    unwatched_since: Option<Moment>,
     /// The data centre of this node, as of the last election.
     data_centre: String,
 }
@@ -177,7 +185,11 @@
     /// Each node computes the election from the heartbeats that it receives. A node that replaces a failed
     /// one starts to send heartbeats to all nodes, and enters the address lists with the first one that
     /// arrives.
-    pub fn elect(&mut self, own: &Node, now: Moment) {
+    ///
+    /// The first elected node that reaches the store watches it. The store may turn some nodes away and serve the
+    /// others, so if no elected node watches it for [`WATCH_GAP_MAX`], the first other node that reaches it does.
+    /// `reaches_store` tells whether the store answers this node and has delivered its contents.
+    pub fn elect(&mut self, own: &Node, reaches_store: bool, now: Moment) {
         self.data_centre.clone_from(&own.data_centre);
         let mut order: Vec<(String, u32, String)> = self
             .nodes
@@ -190,12 +202,12 @@
             a.0.cmp(&b.0)
                 .then_with(|| strength_order((a.1, &a.2), (b.1, &b.2)))
         });
-        let (mut data_centre, mut serving, mut total_millicores, mut has_watcher) =
-            (String::new(), 0, 0, false);
+        let (mut data_centre, mut serving, mut total_millicores) = (String::new(), 0, 0);
+        let (mut has_watcher, mut standby) = (false, 0);
         for (node_data_centre, millicores, name) in order {
             if node_data_centre != data_centre {
-                (data_centre, serving, total_millicores, has_watcher) =
-                    (node_data_centre, 0, 0, false);
+                (data_centre, serving, total_millicores) = (node_data_centre, 0, 0);
+                (has_watcher, standby) = (false, 0);
             }
             let elected = serving < SERVING_NODES_MIN || total_millicores < SERVING_MILLICORES_MIN;
             // Depends on `self.elected_since`, which the `None` arm below may change for later nodes.
@@ -208,12 +220,21 @@
                 }
                 Some(known) => {
                     known.elected_since = None;
+                    has_watcher |= known.fresh && is_alive(known, now);
+                    standby += 1;
                     false
                 }
                 // The only name that is not among the other nodes is that of this node.
                 None => {
                     self.elected_since = elected.then(|| self.elected_since.unwrap_or(now));
-                    self.watches = elected && !has_watcher;
+                    let is_unwatched = !elected && !has_watcher && reaches_store;
+                    self.unwatched_since =
+                        is_unwatched.then(|| self.unwatched_since.unwrap_or(now));
+                    let turn = WATCH_GAP_MAX + WATCH_ATTEMPT_INTERVAL * standby;
+                    let stands_in = self
+                        .unwatched_since
+                        .is_some_and(|since| now.since(since) >= turn);
+                    self.watches = stands_in || (elected && !has_watcher);
                     elected
                 }
             };
@@ -229,8 +250,8 @@
         self.elected_since.is_some()
     }
 
-    /// Tells whether this node should watch the store: it is elected to serve callers, and no node before it
-    /// in the election of its data centre watches the store.
+    /// Tells whether this node should watch the store: no node before it in the election of its data centre watches
+    /// the store, and it is elected to serve callers or stands in for those that are.
     ///
     /// Every change is paid for once per watch, whereas nodes of one data centre exchange changes for free.
     pub const fn watches_store(&self) -> bool {
@@ -275,18 +296,21 @@
 
     /// Returns the addresses to which heartbeats are sent in a round.
     ///
-    /// A node that serves callers sends them to its own data centre and to all serving nodes, and every
-    /// [`STANDBY_INTERVAL_ROUNDS`] to all nodes. Another node sends them only every
+    /// A node that serves callers or watches the store sends them to its own data centre and to all serving nodes, and
+    /// every [`STANDBY_INTERVAL_ROUNDS`] to all nodes. Another node sends them only every
     /// [`STANDBY_INTERVAL_ROUNDS`], to the serving nodes.
     pub fn heartbeat_addresses(&self, round: u32) -> impl Iterator<Item = SocketAddr> {
         let is_standby_round = round.is_multiple_of(STANDBY_INTERVAL_ROUNDS);
+        let has_duty = self.elected_since.is_some() || self.watches;
         self.nodes
             .values()
             .filter(move |known| {
                 let is_local = known.node.data_centre == self.data_centre;
-                match self.elected_since {
-                    Some(_) => is_local || is_standby_round || known.elected_since.is_some(),
-                    None => is_standby_round && known.elected_since.is_some(),
+                let serves = known.elected_since.is_some();
+                if has_duty {
+                    is_local || is_standby_round || serves
+                } else {
+                    is_standby_round && serves
                 }
             })
             .map(|known| known.node.heartbeat)
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -11,7 +11,8 @@
 use redwinggrade::connection::keyspace::Revision;
 use redwinggrade::process::roster::{
     COPY_DELAY_MAX, COPY_INTERVAL, FIRST_COPIES, HEARTBEAT_INTERVAL, HEARTBEAT_TIMEOUT, Heartbeat,
-    NODE_EXPIRY, Roster, STANDBY_INTERVAL_ROUNDS, copy_delay,
+    NODE_EXPIRY, Roster, STANDBY_INTERVAL_ROUNDS, WATCH_ATTEMPT_INTERVAL, WATCH_GAP_MAX,
+    copy_delay,
 };
 use redwinggrade::time::Moment;
 use redwinggrade::version::item::Node;
@@ -42,7 +43,7 @@
 fn addresses(roster: &mut Roster, own: Option<&Node>, now: Moment) -> Vec<SocketAddr> {
     let mut random = Pcg32::seed_from_u64(3);
     let elsewhere = node(99, "elsewhere");
-    roster.elect(own.unwrap_or(&elsewhere), now);
+    roster.elect(own.unwrap_or(&elsewhere), true, now);
     let mut addresses = roster.addresses(LOCAL, own, &mut random, now);
     addresses.sort();
     addresses
@@ -162,7 +163,7 @@
             };
             roster.record_heartbeat(heartbeat, now);
         }
-        roster.elect(own, now);
+        roster.elect(own, true, now);
         now = now + HEARTBEAT_INTERVAL;
     }
     now
@@ -232,7 +233,7 @@
     let own = local_node(2, 300);
     let first = local_node(1, 400);
     assert!({
-        roster.elect(&own, at(0));
+        roster.elect(&own, true, at(0));
         roster.watches_store()
     });
     let now = run_elections(&mut roster, &own, std::slice::from_ref(&first), at(0), 3);
@@ -244,12 +245,12 @@
         ..heartbeat(1, LOCAL)
     };
     roster.record_heartbeat(heartbeat, now);
-    roster.elect(&own, now);
+    roster.elect(&own, true, now);
     assert!(roster.watches_store());
     let now = run_elections(&mut roster, &own, &[first], now, 3);
     assert!(!roster.watches_store());
     // The heartbeats of the first node stop.
-    roster.elect(&own, now + HEARTBEAT_TIMEOUT);
+    roster.elect(&own, true, now + HEARTBEAT_TIMEOUT);
     assert!(roster.watches_store());
 }
 
@@ -262,10 +263,58 @@
     for node in &nodes {
         roster.add_record(node.clone(), at(0));
     }
-    roster.elect(&own, at(0));
+    roster.elect(&own, true, at(0));
     assert!(!roster.watches_store());
 }
 
+/// Guards against a data centre that learns of no change because the store turns its serving nodes away, and against
+/// a paid watch by each of the other nodes meanwhile.
+#[test]
+fn standby_nodes_watch_store_in_turn_while_no_serving_node_does() {
+    let mut roster = Roster::default();
+    let own = local_node(9, 100);
+    let serving = [local_node(1, 500), local_node(2, 500)];
+    let standby = [local_node(3, 200), local_node(4, 200)];
+    for node in serving.iter().chain(&standby) {
+        roster.add_record(node.clone(), at(0));
+    }
+    let mut watches_at = |reaches_store: bool, fresh: Option<&Node>, now: Moment| {
+        for node in &serving {
+            let (node, fresh) = (node.clone(), fresh == Some(node));
+            let heartbeat = Heartbeat {
+                node,
+                fresh,
+                ..heartbeat(1, LOCAL)
+            };
+            roster.record_heartbeat(heartbeat, now);
+        }
+        if let Some(node) = fresh.filter(|node| standby.contains(node)) {
+            let node = node.clone();
+            let heartbeat = Heartbeat {
+                node,
+                ..heartbeat(1, LOCAL)
+            };
+            roster.record_heartbeat(heartbeat, now);
+        }
+        roster.elect(&own, reaches_store, now);
+        let watches = roster.watches_store();
+        assert_eq!(roster.heartbeat_addresses(1).count() > 0, watches);
+        watches
+    };
+    let turn = WATCH_GAP_MAX + 2 * WATCH_ATTEMPT_INTERVAL;
+    let start = at(1_000);
+    assert!(!watches_at(true, Some(&serving[1]), start));
+    assert!(!watches_at(true, None, start + ms(300)));
+    assert!(!watches_at(true, None, start + ms(299) + turn));
+    assert!(watches_at(true, None, start + ms(300) + turn));
+    assert!(!watches_at(false, None, start + ms(600) + turn));
+    // The turn is counted from the moment at which the node reaches the store again.
+    assert!(!watches_at(true, None, at(5_000)));
+    assert!(watches_at(true, None, at(5_000) + turn));
+    assert!(!watches_at(true, Some(&standby[1]), at(5_300) + turn));
+    assert!(!watches_at(true, Some(&serving[0]), at(8_000)));
+}
+
 /// Standby nodes need heartbeats of serving nodes in other data centres to compute the same election, but
 /// only rarely.
 #[test]
