Bound the receive buffers of connections that a server accepts

What was at stake: callers inside all limits could fill the memory of the machine beside the process. Cause: the system grows the receive buffer of each connection up to 6 MiB while the process reads more slowly than callers send, and nothing bounds all of them.

The server now asks for 16 KiB on its listener, of which the system makes 32 KiB for each connection: 23 MiB for the 746 connections that an instance of 112 MB accepts.

Clients 100 ms away send at most 300 KB a second on one connection.

--- a/src/connection/server.rs
+++ b/src/connection/server.rs
@@ -12,6 +12,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
+use rustix::net::sockopt;
 use slotmap::{SlotMap, new_key_type};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
@@ -42,6 +43,9 @@
 /// The cost of a connection beside its largest head: the buffer for writing and the second one for reading, 8 KiB
 /// each, and 4 KiB for its task and the entries of the system for it.
 const CONNECTION_BASE_BYTES: usize = 20 << 10;
+/// The receive buffer that the system is asked for on each connection; it grants twice as much. Without a bound, the
+/// system lets the buffers of all connections grow beyond the memory of the machine while the process is busy.
+const RECEIVE_BUFFER_BYTES: usize = 16 << 10;
 /// How long a connection may be open without a request before a new one may displace it. The first request of a
 /// caller usually arrives with the connection.
 const DISPLACEMENT_AGE_MIN: Duration = Duration::from_millis(250);
@@ -98,6 +102,8 @@
         F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
     {
         let address = listener.local_addr()?;
+        // Accepted connections inherit the size.
+        sockopt::set_socket_recv_buffer_size(&listener, RECEIVE_BUFFER_BYTES)?;
         let stop = CancellationToken::new();
         let task = tokio::spawn(accept(listener, limits, memory, handler, stop.clone()));
         Ok(Self {
