Bound the send buffers of connections that a server accepts

What callers could do: ask for answers and not read them, until the machine had no memory left. Cause: up to 4 MiB of answers lie in the system's send buffer for each connection, outside the budget for callers, which counts only what the process itself still holds.

The server now asks for 16 KiB on its listener, of which the system makes 32 KiB for each connection. The rest stays with the process, whose budget ends connections of which nothing is read.

--- a/src/connection/server.rs
+++ b/src/connection/server.rs
@@ -46,6 +46,9 @@
 /// The receive buffer that the system is asked for on each connection; it grants twice as much. Without a bound, the
 /// system lets the buffers of all connections grow beyond the memory of the machine while the process is busy.
 const RECEIVE_BUFFER_BYTES: usize = 16 << 10;
+/// The send buffer that the system is asked for on each connection; it grants twice as much. What callers do not read
+/// beyond it stays with the process, which counts it.
+const SEND_BUFFER_BYTES: usize = 16 << 10;
 /// How long a connection may be open without a request before a new one may displace it. The first request of a
 /// caller usually arrives with the connection.
 const DISPLACEMENT_AGE_MIN: Duration = Duration::from_millis(250);
@@ -102,8 +105,9 @@
         F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
     {
         let address = listener.local_addr()?;
-        // Accepted connections inherit the size.
+        // Accepted connections inherit the sizes.
         sockopt::set_socket_recv_buffer_size(&listener, RECEIVE_BUFFER_BYTES)?;
+        sockopt::set_socket_send_buffer_size(&listener, SEND_BUFFER_BYTES)?;
         let stop = CancellationToken::new();
         let task = tokio::spawn(accept(listener, limits, memory, handler, stop.clone()));
         Ok(Self {
