Bound the memory that callers make redwinggrade-node hold

What callers could do: 10,000 connections with bodies of up to 64 KiB each, and every chunk of one byte kept a slice of the library's buffer. Cause: the budget for callers was built for redwinggrade-edge; the server of redwinggrade-node had one without a bound and collected bodies outside it.

The settings file has `memory_mb` now, 4,096 MiB if it is absent; three eighths are for connections and bodies of callers. A body for which there is no room is refused as `queue_full`, which says that nothing ran, with 300 ms to wait.

--- a/harness/src/bin/redwinggrade-capacity.rs
+++ b/harness/src/bin/redwinggrade-capacity.rs
@@ -145,6 +145,7 @@
         nodes,
         settings,
         threads: 1,
+        memory_mb: None,
     };
     let fleet = Fleet::start(config).await?;
     if args.series == Series::Targets && size > 0 {
--- a/harness/src/fixture.rs
+++ b/harness/src/fixture.rs
@@ -92,6 +92,8 @@
     pub cold_answers: u64,
     /// The ratio of the service time of a cold target to that of a warm one.
     pub cold_factor: f64,
+    /// The memory that the settings file of each node states, in MiB; absent if it states none.
+    pub memory_mb: Option<u64>,
 }
 
 impl Layout {
@@ -101,6 +103,7 @@
         nodes: 3,
         cold_answers: 20,
         cold_factor: COLD_FACTOR,
+        memory_mb: None,
     };
     /// Two data centres with a cell of three nodes each.
     pub const TWO_CELLS: Self = Self {
@@ -108,6 +111,7 @@
         nodes: 6,
         cold_answers: 20,
         cold_factor: COLD_FACTOR,
+        memory_mb: None,
     };
     /// Three data centres with a cell of three nodes each.
     pub const THREE_CELLS: Self = Self {
@@ -115,6 +119,7 @@
         nodes: 9,
         cold_answers: 20,
         cold_factor: COLD_FACTOR,
+        memory_mb: None,
     };
 }
 
@@ -259,6 +264,7 @@
             nodes: layout.nodes,
             settings: file,
             threads: 2,
+            memory_mb: layout.memory_mb,
         })
         .await?;
         let mut fixture = Self {
--- a/harness/src/fleet.rs
+++ b/harness/src/fleet.rs
@@ -35,6 +35,8 @@
     pub settings: PathBuf,
     /// The number of worker threads of each node.
     pub threads: u16,
+    /// The memory that the settings file of each node states, in MiB; absent if it states none.
+    pub memory_mb: Option<u64>,
 }
 
 /// One node of the installation.
@@ -137,7 +139,7 @@
 
     fn launch_node(&self, node: &mut Node, peer: SocketAddr) -> anyhow::Result<()> {
         let path = self.directory.path().join(format!("{}.yaml", node.name));
-        let settings = json!({
+        let mut settings = json!({
             "name": node.name,
             "data_centre": node.data_centre,
             "cell": format!("{}-0", node.data_centre),
@@ -147,6 +149,9 @@
             "store": [self.store_address],
             "members": self.membership_address,
         });
+        if let Some(memory_mb) = self.config.memory_mb {
+            settings["memory_mb"] = memory_mb.into();
+        }
         std::fs::write(&path, serde_json::to_vec(&settings)?)?;
         let threads = self.config.threads.to_string();
         let arguments = ["--threads", &threads, path_text(&path)?];
--- a/harness/src/phases.rs
+++ b/harness/src/phases.rs
@@ -171,6 +171,7 @@
             nodes: 9,
             settings: args.examples.join(file),
             threads: 2,
+            memory_mb: None,
         };
         Ok(Self {
             fleet: Fleet::start(config).await?,
--- a/harness/tests/hostile_callers.rs
+++ b/harness/tests/hostile_callers.rs
@@ -103,7 +103,11 @@
 #[case::in_chunks_of_one_byte(Form::ByteChunks)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn many_bodies_do_not_exceed_memory_of_node(#[case] form: Form) -> anyhow::Result<()> {
-    let mut fixture = Fixture::start(Layout::ONE_CELL).await?;
+    let layout = Layout {
+        memory_mb: Some(MEMORY_MB),
+        ..Layout::ONE_CELL
+    };
+    let mut fixture = Fixture::start(layout).await?;
     let process = fixture.fleet.process_id(0).context("the node runs")?;
     let at_rest = peak_kib(process)?;
     for _ in 0..2 {
--- a/src/connection/caller.rs
+++ b/src/connection/caller.rs
@@ -7,16 +7,18 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue};
 use hyper::{HeaderMap, Method, Request, Response};
 use tokio::net::TcpListener;
 
+use super::body;
 use super::memory::Budget;
 use super::server::{HEAD_MAX_BYTES, Limits, Server};
 use crate::request::answer::Refusal;
 use crate::request::query_request::QueryRequest;
+use crate::time::Clock;
 use crate::wire::Reason;
 use crate::wire::run::Reply;
 
@@ -26,13 +28,15 @@
 pub const BODY_TIMEOUT: Duration = Duration::from_secs(2);
 /// Maximum value of the `Deadline-Ms` header.
 pub const DEADLINE_MAX: Duration = Duration::from_mins(1);
+/// After which time a caller whose query found no memory should send it again.
+const RETRY_AFTER_NO_MEMORY: Duration = Duration::from_millis(300);
 /// The limits of the server. Callers keep their connections open between requests, so many are idle.
 const SERVER_LIMITS: Limits = Limits {
     idle_timeout: Duration::from_secs(30),
     head_timeout: Duration::from_secs(30),
     head_max_bytes: HEAD_MAX_BYTES,
     max_connections: 10_000,
-    displaces_bodies: false,
+    displaces_bodies: true,
 };
 
 /// Handles well-formed requests of callers.
@@ -50,28 +54,39 @@
     fn closing(&self) -> bool;
 }
 
-/// Starts the server for callers.
-pub fn spawn<H>(listener: TcpListener, handler: Arc<H>) -> std::io::Result<Server>
+/// Starts the server for callers, whose connections and bodies count in `memory`.
+pub fn spawn<H>(
+    listener: TcpListener,
+    memory: Budget,
+    clock: Clock,
+    handler: Arc<H>,
+) -> std::io::Result<Server>
 where
     H: Handler,
 {
+    let bodies = memory.clone();
     Server::spawn(
         listener,
         || SERVER_LIMITS,
-        Budget::unlimited(),
+        memory,
         move |request| {
-            let handler = Arc::clone(&handler);
-            async move { serve(request, &*handler).await }
+            let (handler, bodies) = (Arc::clone(&handler), bodies.clone());
+            async move { serve(request, &bodies, clock, &*handler).await }
         },
     )
 }
 
-async fn serve<H>(request: Request<Incoming>, handler: &H) -> Response<Full<Bytes>>
+async fn serve<H>(
+    request: Request<Incoming>,
+    memory: &Budget,
+    clock: Clock,
+    handler: &H,
+) -> Response<Full<Bytes>>
 where
     H: Handler,
 {
     let closing = handler.closing();
-    let (reply, body_unread) = match route(request, handler).await {
+    let (reply, body_unread) = match route(request, memory, clock, handler).await {
         Ok(reply) => (reply, false),
         Err(refusal) => (handler.refuse(refusal), true),
     };
@@ -90,7 +105,12 @@
     response
 }
 
-async fn route<H>(request: Request<Incoming>, handler: &H) -> Result<Reply, Refusal>
+async fn route<H>(
+    request: Request<Incoming>,
+    memory: &Budget,
+    clock: Clock,
+    handler: &H,
+) -> Result<Reply, Refusal>
 where
     H: Handler,
 {
@@ -120,7 +140,7 @@
     check_content_type(&parts.headers)?;
     let request = text_header(&parts.headers, "request-id", Reason::BadRequestId)?;
     let routing_key = text_header(&parts.headers, "routing-key", Reason::BadRequest)?;
-    let body = read_body(body).await?;
+    let body = read_body(body, memory, clock).await?;
     Ok(handler
         .query(QueryRequest {
             index,
@@ -189,24 +209,22 @@
     }
 }
 
-async fn read_body(body: Incoming) -> Result<Bytes, Refusal> {
-    let collected = Limited::new(body, BODY_MAX_BYTES).collect();
-    match tokio::time::timeout(BODY_TIMEOUT, collected).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => Err(Refusal::new(
-            Reason::BodyTooLarge,
-            format!("the body exceeds {BODY_MAX_BYTES} bytes"),
-        )),
-        Ok(Err(e)) => Err(Refusal::new(
-            Reason::BadRequest,
-            format!("the connection failed before the body was complete: {e}"),
-        )),
-        Err(_) => Err(Refusal::new(
-            Reason::SlowBody,
-            format!(
-                "the complete body did not arrive within {} ms",
-                BODY_TIMEOUT.as_millis()
-            ),
-        )),
-    }
+async fn read_body(body: Incoming, memory: &Budget, clock: Clock) -> Result<Bytes, Refusal> {
+    let limits = body::Limits {
+        max_bytes: BODY_MAX_BYTES,
+        timeout: BODY_TIMEOUT,
+    };
+    let read = body::read(body, limits, memory, || clock.now()).await;
+    read.map_err(|e| {
+        let (reason, retry_after) = match e {
+            body::Error::TooLarge(_) => (Reason::BodyTooLarge, None),
+            body::Error::Slow(_) => (Reason::SlowBody, None),
+            body::Error::Broken(_) => (Reason::BadRequest, None),
+            body::Error::NoMemory(_) => (Reason::QueueFull, Some(RETRY_AFTER_NO_MEMORY)),
+        };
+        Refusal {
+            retry_after,
+            ..Refusal::new(reason, e.to_string())
+        }
+    })
 }
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -2,6 +2,7 @@
 //! membership list and the store.
 
 pub mod admin;
+pub mod body;
 pub mod caller;
 pub mod head;
 pub mod keyspace;
--- a/src/process/config.rs
+++ b/src/process/config.rs
@@ -28,6 +28,9 @@
     pub store: Vec<SocketAddr>,
     /// The address of the platform's membership list.
     pub members: SocketAddr,
+    /// The memory of the machine that the node may use, in MiB.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: usize,
 }
 
 /// The reason why a node's settings file cannot be used.
@@ -87,6 +90,12 @@
         }
     }
 
+    /// Returns the memory that callers may make the node hold, in bytes. It lets the maximum number of connections be open
+    /// at once if the file does not state the memory.
+    pub const fn caller_memory_bytes(&self) -> usize {
+        self.memory_mb.saturating_mul(1 << 20) / 8 * CALLER_MEMORY_EIGHTHS
+    }
+
     /// Returns the key of the first value that is not allowed, and what the value must be.
     fn first_invalid_value(&self) -> Option<(&'static str, &'static str)> {
         let is_valid_name = |text: &str| {
@@ -108,6 +117,9 @@
         if self.store.is_empty() {
             return Some(("store", "needs at least one address"));
         }
+        if self.memory_mb < MEMORY_MB_MIN {
+            return Some(("memory_mb", "must be at least 64"));
+        }
         let unspecified = [("caller", self.caller), ("peer", self.peer)]
             .into_iter()
             .find(|(_, address)| address.ip().is_unspecified());
@@ -119,3 +131,14 @@
 const MAX_NAME_BYTES: usize = 64;
 /// The error message for a name that is not allowed.
 const NAME_REQUIREMENT: &str = "must be 1 to 64 letters, digits, hyphens or underscores";
+/// The memory of a node whose settings file does not state it, in MiB.
+const MEMORY_MB_DEFAULT: usize = 4_096;
+/// The least memory that a settings file may state, in MiB.
+const MEMORY_MB_MIN: usize = 64;
+/// The part of a node's memory, in eighths, that callers may make it hold. The rest is for the process itself, other nodes,
+/// targets and the system's buffers.
+const CALLER_MEMORY_EIGHTHS: usize = 3;
+
+const fn default_memory_mb() -> usize {
+    MEMORY_MB_DEFAULT
+}
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -25,6 +25,7 @@
 use super::ledger::{Decision, Ledger, Run};
 use super::metrics::Metrics;
 use super::view::View;
+use crate::connection::memory::Budget;
 use crate::connection::peer::{self, Peers};
 use crate::connection::server::Server;
 use crate::connection::{caller, operator};
@@ -90,10 +91,11 @@
         config.caller = callers.local_addr()?;
         config.peer = peers.local_addr()?;
         config.admin = admin.local_addr()?;
+        let memory = Budget::open(config.caller_memory_bytes());
         let shared = Arc::new(Shared::open(config).await?);
         let handler = Arc::new(Handler(Arc::clone(&shared)));
         Ok(Self {
-            callers: caller::spawn(callers, Arc::clone(&handler))?,
+            callers: caller::spawn(callers, memory, shared.clock, Arc::clone(&handler))?,
             peers: peer::serve(peers, Arc::clone(&handler))?,
             admin: operator::spawn(admin, handler)?,
             shared,
--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -7,9 +7,11 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use redwinggrade::connection::caller::{self, BODY_MAX_BYTES, Handler};
+use redwinggrade::connection::memory::Budget;
 use redwinggrade::connection::server::Server;
 use redwinggrade::request::answer::{Answer, Coverage, Extra, Refusal};
 use redwinggrade::request::query_request::QueryRequest;
+use redwinggrade::time::Clock;
 use redwinggrade::wire::Version;
 use redwinggrade::wire::run::Reply;
 use rstest::rstest;
@@ -63,7 +65,13 @@
         .await
         .expect("a free port exists");
     (
-        caller::spawn(listener, Arc::clone(&handler)).expect("the listener is bound"),
+        caller::spawn(
+            listener,
+            Budget::unlimited(),
+            Clock::start(),
+            Arc::clone(&handler),
+        )
+        .expect("the listener is bound"),
         handler,
     )
 }
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -32,6 +32,7 @@
 #[case::bad_address("127.0.0.1:8081", "somewhere", "line 5")]
 #[case::bad_name("name: node-1", "name: 'node 1'", "name: must be")]
 #[case::no_store("store: [127.0.0.1:2379]", "store: []", "store: needs")]
+#[case::little_memory("cell: dc1-0", "cell: dc1-0\nmemory_mb: 63", "memory_mb: must be")]
 #[case::unspecified("caller: 127.0.0.1", "caller: 0.0.0.0", "caller: must be")]
 fn reports_invalid_value_with_its_place(
     #[case] from: &str,
