--- a/src/process/config.rs
+++ b/src/process/config.rs
@@ -90,8 +90,7 @@
         }
     }
 
-    /// Returns the memory that callers may make the node hold, in bytes. It lets the maximum number of connections be open
-    /// at once if the file does not state the memory.
+    /// Returns the memory that callers may make the node hold, in bytes.
     pub const fn caller_memory_bytes(&self) -> usize {
         self.memory_mb.saturating_mul(1 << 20) / 8 * CALLER_MEMORY_EIGHTHS
     }
@@ -131,8 +130,9 @@
 const MAX_NAME_BYTES: usize = 64;
 /// The error message for a name that is not allowed.
 const NAME_REQUIREMENT: &str = "must be 1 to 64 letters, digits, hyphens or underscores";
-/// The memory of a node whose settings file does not state it, in MiB.
-const MEMORY_MB_DEFAULT: usize = 4_096;
+/// The memory of a node whose settings file does not state it, in MiB. It suffices for the maximum number of connections
+/// of callers, each with the largest head and body.
+const MEMORY_MB_DEFAULT: usize = 6_144;
 /// The least memory that a settings file may state, in MiB.
 const MEMORY_MB_MIN: usize = 64;
 /// The part of a node's memory, in eighths, that callers may make it hold. The rest is for the process itself, other nodes,
