--- a/harness/tests/hostile_callers.rs
+++ b/harness/tests/hostile_callers.rs
@@ -4,15 +4,12 @@
 //! The checks do not depend on the speed of the machine: the process lives, its peak memory stays under a bound, and
 //! an ordinary query is answered after the crowd.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use anyhow::Context;
 use redwinggrade_demo::fixture::{Fixture, Layout, SEARCH_INDEX};
 use rstest::rstest;
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
-use tokio::task::JoinSet;
+use standins::crowd::Crowd;
 
 /// The memory that a node may use, in MiB.
 const MEMORY_MB: u64 = 96;
@@ -72,22 +69,6 @@
     }
 }
 
-/// Opens the connections of a crowd, which write their requests and stay until they are dropped.
-fn open_crowd(address: SocketAddr, form: Form) -> JoinSet<()> {
-    let mut crowd = JoinSet::new();
-    for number in 0..CROWD {
-        let request = form.request(number % COMPLETE_ONE_IN == 0);
-        crowd.spawn(async move {
-            // The node may refuse the connection or close it.
-            if let Ok(mut stream) = TcpStream::connect(address).await {
-                let _ = stream.write_all(&request).await;
-                std::future::pending::<()>().await;
-            }
-        });
-    }
-    crowd
-}
-
 /// Returns the peak memory of a process in KiB.
 fn peak_kib(process: u32) -> anyhow::Result<u64> {
     let status = std::fs::read_to_string(format!("/proc/{process}/status"))?;
@@ -111,7 +92,8 @@
     let process = fixture.fleet.process_id(0).context("the node runs")?;
     let at_rest = peak_kib(process)?;
     for _ in 0..2 {
-        let crowd = open_crowd(fixture.fleet.nodes[0].caller, form);
+        let requests = (0..CROWD).map(|number| form.request(number % COMPLETE_ONE_IN == 0));
+        let crowd = Crowd::open(fixture.fleet.nodes[0].caller, requests);
         tokio::time::sleep(STAY).await;
         drop(crowd);
     }
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -5,6 +5,7 @@
 //! the requests that took effect, so that tests can check them. The crate does not depend on the query
 //! tier.
 
+pub mod crowd;
 pub mod http;
 pub mod members;
 pub mod platform;
