--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -267,8 +267,7 @@
     assert!(!roster.watches_store());
 }
 
-/// Guards against a data centre that learns of no change because the store turns its serving nodes away, and against
-/// a paid watch by each of the other nodes meanwhile.
+/// Guards against a data centre that learns of no change because the store turns its serving nodes away.
 #[test]
 fn standby_nodes_watch_store_in_turn_while_no_serving_node_does() {
     let mut roster = Roster::default();
@@ -308,7 +307,6 @@
     assert!(!watches_at(true, None, start + ms(299) + turn));
     assert!(watches_at(true, None, start + ms(300) + turn));
     assert!(!watches_at(false, None, start + ms(600) + turn));
-    // The turn is counted from the moment at which the node reaches the store again.
     assert!(!watches_at(true, None, at(5_000)));
     assert!(watches_at(true, None, at(5_000) + turn));
     assert!(!watches_at(true, Some(&standby[1]), at(5_300) + turn));
